Run an instance on the users' platform: the whole path, thin

Cause: the product spoke only its own interface. Change: platform/ translates the settings file, the store's objects and watches, the operator's configuration, targets' entries and the messages' headers; core/node gets routes, attempts per route and a list of duties that a platform makes needless (bills, begun records, own configuration store, polling of targets, claims); fleet/gateway relays, fleet/upstream is the client of targets, which never repeats a request itself. Ruled out: a second core for the platform (the ledger flights, gossip and closing of grants would stand twice).

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for developers and CI. RAPID_SEED pins the property tests.
 GO        ?= go
-MODULES   := core fleet standins bench
+MODULES   := core fleet platform standins bench
 PACKAGES  := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 PROGRAMS  := fleet/cmd/plantainfieldd fleet/cmd/plantainfield standins/cmd/standin-platform \
              standins/cmd/standin-engine standins/cmd/standin-service bench/cmd/demo bench/cmd/loadgen bench/cmd/faults
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -132,6 +132,9 @@
 	MaxAttempts int64 `json:"maxAttempts" min:"1" max:"10"`
 	// BudgetPerMille bounds retries as a share of first attempts, per mille.
 	BudgetPerMille int64 `json:"budgetPerMille" min:"0" max:"1000"`
+	// FleetReserve is the number of retries that all instances together may make
+	// beyond that share in a short time; 0 for a fixed reserve of each instance.
+	FleetReserve int64 `json:"fleetReserve,omitempty" min:"0" max:"100000"`
 	// BaseDelayMillis is the first delay before a retry, in milliseconds.
 	BaseDelayMillis int64 `json:"baseDelayMillis" min:"1" max:"10000"`
 }
--- a/core/config/stored.go
+++ b/core/config/stored.go
@@ -11,6 +11,9 @@
 	OperationID string `json:"operationID"`
 	// Document is the accepted file.
 	Document Document `json:"document"`
+	// Routing is set by a platform that holds the configuration itself; nil in
+	// an operator's own file.
+	Routing *Routing `json:"routing,omitempty"`
 	// Earlier lists the latest applies before this one, oldest first.
 	Earlier []Acceptance `json:"earlier,omitempty"`
 }
@@ -53,16 +56,22 @@
 type Index struct {
 	Generation uint64
 	Document   *Document
-	keys       map[string]KeyOwner
-	budgets    map[string]*Budget
-	models     map[string]*Model
-	services   map[string]*Service
+	// Routing is never nil; it is empty in an operator's own file.
+	Routing  *Routing
+	keys     map[string]KeyOwner
+	budgets  map[string]*Budget
+	models   map[string]*Model
+	services map[string]*Service
+	routes   map[string][]*Route
+	classes  map[string]*TargetClass
 }
 
 // KeyOwner is what an API key names.
 type KeyOwner struct {
 	Customer string
 	Budget   string
+	// Priority goes before the route's; nil where the customer has none.
+	Priority *int64
 }
 
 // NewIndex builds the look-up tables of a stored document.
@@ -74,10 +83,16 @@
 		budgets:    map[string]*Budget{},
 		models:     map[string]*Model{},
 		services:   map[string]*Service{},
+		routes:     map[string][]*Route{},
+		classes:    map[string]*TargetClass{},
+		Routing:    s.Routing,
+	}
+	if ix.Routing == nil {
+		ix.Routing = &Routing{}
 	}
 	for _, c := range s.Document.Customers {
 		for _, k := range c.Keys {
-			ix.keys[k.SHA256] = KeyOwner{Customer: c.Name, Budget: k.Budget}
+			ix.keys[k.SHA256] = KeyOwner{Customer: c.Name, Budget: k.Budget, Priority: ix.priority(c.Name)}
 		}
 	}
 	for i := range s.Document.Budgets {
@@ -89,9 +104,24 @@
 	for i := range s.Document.Services {
 		ix.services[s.Document.Services[i].Name] = &s.Document.Services[i]
 	}
+	for i := range ix.Routing.Routes {
+		r := &ix.Routing.Routes[i]
+		ix.routes[r.Host] = append(ix.routes[r.Host], r)
+	}
+	for i := range ix.Routing.Targets {
+		ix.classes[ix.Routing.Targets[i].Service] = &ix.Routing.Targets[i]
+	}
 	return ix
 }
 
+// priority is a customer's own priority, or nil.
+func (ix *Index) priority(customer string) *int64 {
+	if p, ok := ix.Routing.CustomerPriorities[customer]; ok {
+		return &p
+	}
+	return nil
+}
+
 // KeyOwner returns the customer and budget that a key's SHA-256 names.
 func (ix *Index) KeyOwner(sha256Hex string) (KeyOwner, bool) {
 	o, ok := ix.keys[sha256Hex]
--- a/core/event/action.go
+++ b/core/event/action.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"plantainfield.example/core/config"
 	"plantainfield.example/core/errkind"
 )
 
@@ -57,6 +58,9 @@
 	Kind       errkind.Kind  `json:"kind"`
 	Ran        errkind.Ran   `json:"ran"`
 	RetryAfter time.Duration `json:"retryAfter"`
+	// BudgetCovers is set where the budget covers the request, but others hold
+	// its tokens at the moment.
+	BudgetCovers bool `json:"budgetCovers,omitempty"`
 }
 
 // ReplayAnswer answers a request with the recorded answer of an earlier run.
@@ -85,8 +89,8 @@
 // AdoptConfig tells the driver which stored configuration is in force.
 type AdoptConfig struct {
 	Generation uint64 `json:"generation"`
-	// Stored is the JSON of a config.Stored.
-	Stored []byte `json:"stored"`
+	// Stored is the configuration; nobody may change it.
+	Stored *config.Stored `json:"stored"`
 }
 
 // AnswerApply answers an ApplyRequested.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"plantainfield.example/core/config"
 	"plantainfield.example/core/errkind"
 )
 
@@ -28,6 +29,7 @@
 	AttemptEnded     *AttemptEnded     `json:"attemptEnded,omitempty"`
 	PlatformResult   *PlatformResult   `json:"platformResult,omitempty"`
 	ObjectSeen       *ObjectSeen       `json:"objectSeen,omitempty"`
+	ConfigRead       *ConfigRead       `json:"configRead,omitempty"`
 	InstancesListed  *InstancesListed  `json:"instancesListed,omitempty"`
 	PeerReceived     *PeerReceived     `json:"peerReceived,omitempty"`
 	TargetReported   *TargetReported   `json:"targetReported,omitempty"`
@@ -78,6 +80,9 @@
 	Priority int `json:"priority,omitempty"`
 	// Deadline is the longest wait for the first token; 0 for the default.
 	Deadline time.Duration `json:"deadline,omitempty"`
+	// MaxAttempts is the most targets that the request may be sent to; 0 for
+	// the policy's.
+	MaxAttempts int `json:"maxAttempts,omitempty"`
 	// HandedOver is set when a peer passed the request on; it is then not
 	// passed on again.
 	HandedOver bool `json:"handedOver,omitempty"`
@@ -125,6 +130,11 @@
 	UsageKnown bool `json:"usageKnown"`
 	// BytesDelivered is true once a byte of the answer reached the caller.
 	BytesDelivered bool `json:"bytesDelivered"`
+	// Unsent is set where no byte of the attempt reached the target.
+	Unsent bool `json:"unsent,omitempty"`
+	// TargetBusy is set where the target did not start the attempt because it
+	// is full.
+	TargetBusy bool `json:"targetBusy,omitempty"`
 	// TargetLeaving is set where the target did not start the attempt because
 	// it is leaving.
 	TargetLeaving bool `json:"targetLeaving,omitempty"`
@@ -206,6 +216,12 @@
 	Object Object `json:"object"`
 }
 
+// ConfigRead reports a configuration that the platform holds and an adapter
+// has translated.
+type ConfigRead struct {
+	Stored *config.Stored `json:"stored"`
+}
+
 // InstanceRole tells the system's instances from targets.
 type InstanceRole string
 
@@ -235,11 +251,18 @@
 	PeerAddress string        `json:"peerAddress,omitempty"`
 	Serves      []string      `json:"serves,omitempty"`
 	State       InstanceState `json:"state"`
+	// Incarnation is the life of a router that wrote the entry, or empty.
+	Incarnation string `json:"incarnation,omitempty"`
+	// Born tells two lives of a target under one name apart; 0 if not known.
+	Born int64 `json:"born,omitempty"`
 }
 
 // InstancesListed reports the whole instance list, which may lag.
 type InstancesListed struct {
 	Instances []Instance `json:"instances"`
+	// Regained is set on the first list after the platform could not be
+	// reached: entries that lapsed meanwhile may come back.
+	Regained bool `json:"regained,omitempty"`
 }
 
 // TargetReported is a target's own load report, which may lag.
@@ -287,4 +310,8 @@
 }
 
 // ShutdownRequired starts a graceful stop.
-type ShutdownRequired struct{}
+type ShutdownRequired struct {
+	// Linger is how long new requests are still served: callers take a while
+	// to learn that they should go elsewhere.
+	Linger time.Duration `json:"linger,omitempty"`
+}
--- a/core/node/bills.go
+++ b/core/node/bills.go
@@ -114,6 +114,10 @@
 // billLine sees to the bill line of an answered request. The last frame goes
 // out once the line is written or held by a second instance.
 func (n *Node) billLine(r *request, line bill.Line) {
+	if n.settings.Without.Bills {
+		n.release(r)
+		return
+	}
 	r.phase = phaseBilling
 	r.holdUntil = n.now + billCut
 	if n.configs.index.Document.Policies.Billing.WhenIsolated == config.IsolatedServe {
@@ -158,7 +162,7 @@
 // isolated tells whether a new request must be refused since its bill could
 // neither be written nor held by a second instance.
 func (n *Node) isolated() bool {
-	if n.configs.index.Document.Policies.Billing.WhenIsolated == config.IsolatedServe {
+	if n.settings.Without.Bills || n.configs.index.Document.Policies.Billing.WhenIsolated == config.IsolatedServe {
 		return false
 	}
 	if n.bills.held.full() {
@@ -168,6 +172,9 @@
 }
 
 func (n *Node) tickBills() {
+	if n.settings.Without.Bills {
+		return
+	}
 	n.reviewBills()
 	for _, l := range n.bills.logs {
 		n.flyBills(l)
--- a/core/node/claims.go
+++ b/core/node/claims.go
@@ -16,6 +16,9 @@
 // flySuspect reads a record and writes its changes. There is at most one
 // flight for a record.
 func (n *Node) flySuspect(s *suspect) {
+	if n.settings.Without.QuarantineClaims {
+		return
+	}
 	if s.flying || !s.due() {
 		return
 	}
--- a/core/node/configs.go
+++ b/core/node/configs.go
@@ -25,7 +25,8 @@
 type configState struct {
 	index  *config.Index
 	stored config.Stored
-	raw    []byte
+	// raw is the JSON of stored, or nil until it is needed.
+	raw []byte
 	// highest is the highest generation that a peer has told of.
 	highest uint64
 	// behindSince is when highest first exceeded the generation in force.
@@ -42,6 +43,18 @@
 
 func (c *configState) generation() uint64 { return c.stored.Generation }
 
+// encoded is the JSON of the configuration in force.
+func (c *configState) encoded() []byte {
+	if c.raw == nil {
+		raw, err := json.Marshal(&c.stored)
+		if err != nil {
+			return nil // every field has a JSON form
+		}
+		c.raw = raw
+	}
+	return c.raw
+}
+
 // known is the highest generation that is in force anywhere, as known here.
 func (c *configState) known() uint64 { return max(c.generation(), c.highest) }
 
@@ -51,7 +64,7 @@
 
 func (n *Node) tickConfig() {
 	n.tickApplies()
-	if n.configs.polling || n.now < n.configs.nextPoll {
+	if n.settings.Without.ConfigurationStore || n.configs.polling || n.now < n.configs.nextPoll {
 		return
 	}
 	n.configs.polling = true
@@ -87,7 +100,7 @@
 	if s.Generation >= n.configs.generation() {
 		return
 	}
-	found.Value = n.configs.raw
+	found.Value = n.configs.encoded()
 	n.call(writeOp(found.Version), found, func(event.PlatformResult) {})
 }
 
@@ -113,14 +126,29 @@
 
 // adopt puts a stored configuration in force if it is newer.
 func (n *Node) adopt(raw []byte) {
-	var s config.Stored
-	if err := json.Unmarshal(raw, &s); err != nil || s.Generation <= n.configs.generation() {
+	s := &config.Stored{}
+	if err := json.Unmarshal(raw, s); err != nil || s.Generation <= n.configs.generation() {
+		return
+	}
+	n.putInForce(s, raw)
+}
+
+// configRead takes a configuration that the platform holds. Its policies are
+// this fleet's own.
+func (n *Node) configRead(s *config.Stored) {
+	if s.Generation <= n.configs.generation() {
 		return
 	}
-	n.configs.stored, n.configs.raw = s, raw
-	n.configs.index = config.NewIndex(&s)
+	s.Document.Policies = n.settings.Policies
+	n.putInForce(s, nil)
+}
+
+// putInForce replaces the configuration in force; raw is its JSON, if known.
+func (n *Node) putInForce(s *config.Stored, raw []byte) {
+	n.configs.stored, n.configs.raw = *s, raw
+	n.configs.index = config.NewIndex(s)
 	n.selector = routing.New(s.Document.Policies.Routing)
-	n.emit(event.Action{AdoptConfig: &event.AdoptConfig{Generation: s.Generation, Stored: raw}})
+	n.emit(event.Action{AdoptConfig: &event.AdoptConfig{Generation: s.Generation, Stored: s}})
 	for i := range n.ledgers.shards {
 		n.book.Touch(i) // totals and policies may have changed
 	}
@@ -140,7 +168,7 @@
 		c.nextPoll = min(c.nextPoll, n.now+n.jitter(peerFetchDelay/2))
 	}
 	c.highest = max(c.highest, generation)
-	if !c.polled || n.now < c.nextFetch {
+	if n.now < c.nextFetch || !c.polled && !n.settings.Without.ConfigurationStore {
 		return
 	}
 	if !c.pollFailed && n.now-c.behindSince < peerFetchDelay {
@@ -152,7 +180,7 @@
 
 func (n *Node) configRequested(from string, q *event.ConfigRequest) {
 	if g := n.configs.generation(); g > q.Above {
-		n.send(from, event.PeerMessage{ConfigReply: &event.ConfigReply{Generation: g, Stored: n.configs.raw}})
+		n.send(from, event.PeerMessage{ConfigReply: &event.ConfigReply{Generation: g, Stored: n.configs.encoded()}})
 	}
 }
 
--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -7,10 +7,6 @@
 	"plantainfield.example/core/event"
 )
 
-// busyRetryAfter is when to come back if a budget covers a request but other
-// requests hold its tokens.
-const busyRetryAfter = 2 * time.Second
-
 // budgetWait is how far a request came in its search for tokens.
 type budgetWait struct {
 	// lackAsked is set once a ledger operation asked for the tokens.
@@ -80,16 +76,27 @@
 	}
 }
 
+// busyRetryAfter is when to come back if a budget covers a request but other
+// requests hold its tokens.
+const busyRetryAfter = 2 * time.Second
+
+// budgetCovers tells whether a request that is refused for want of tokens may
+// be served once others have returned what they hold.
+func (n *Node) budgetCovers(r *request, kind errkind.Kind) bool {
+	if kind != errkind.BudgetExhausted {
+		return false
+	}
+	b := n.ledgers.shardOf(r.Budget).shard.Budgets[r.Budget]
+	return b != nil && b.Prepaid-b.SettledTotal() >= r.WorstCaseTokens
+}
+
 // retryAfter is when the caller of a refused request should come back.
 func (n *Node) retryAfter(r *request, kind errkind.Kind) time.Duration {
 	if r.comeBack > 0 {
 		return r.comeBack
 	}
-	if kind == errkind.BudgetExhausted {
-		b := n.ledgers.shardOf(r.Budget).shard.Budgets[r.Budget]
-		if b != nil && b.Prepaid-b.SettledTotal() >= r.WorstCaseTokens {
-			return busyRetryAfter
-		}
+	if n.budgetCovers(r, kind) {
+		return busyRetryAfter
 	}
 	return time.Duration(errkind.Lookup(kind).RetryAfterSeconds) * time.Second
 }
--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -95,6 +95,9 @@
 // targetVanished takes that the list has no entry for a target. The target is
 // kept for a while, because an older list may still arrive.
 func (n *Node) targetVanished(t *target) {
+	if n.members.regainedAt > 0 && n.now-n.members.regainedAt < relistWait {
+		return // tickMembers looks again
+	}
 	if !t.delisted {
 		t.delisted = true
 		n.targetLeaving(t)
@@ -105,5 +108,9 @@
 	}
 }
 
+// relistWait is how long a target may take to be listed again once the platform
+// is back in reach: the platform lets entries lapse that it can't renew.
+const relistWait = 2 * time.Second
+
 // tombstoneTimeout is how long a target is kept after it vanished.
 const tombstoneTimeout = 30 * time.Second
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -59,7 +59,9 @@
 	// silent.
 	contradictUntil time.Duration
 	lastHeard       time.Duration
-	seekFrom        int
+	// regainedAt is when the platform last came back into reach.
+	regainedAt time.Duration
+	seekFrom   int
 	// ringNames and sortedPeers cache ring and peerNames; nil if peers changed.
 	ringNames   []string
 	sortedPeers []string
@@ -94,9 +96,12 @@
 
 // instancesListed takes the instance list. An entry that is gone from it is
 // dropped; attempts in flight there go on.
-func (n *Node) instancesListed(list []event.Instance) {
+func (n *Node) instancesListed(e event.InstancesListed) {
+	if e.Regained {
+		n.members.regainedAt = n.now
+	}
 	listed := map[string]bool{}
-	for _, in := range list {
+	for _, in := range e.Instances {
 		listed[in.Name] = true
 		switch {
 		case in.Name == n.settings.Name:
@@ -210,6 +215,18 @@
 	return count
 }
 
+// fleetSize counts the listed instances of the system, this one included, live
+// or not, so that shares of a bound hold for all of them together.
+func (n *Node) fleetSize() int64 {
+	count := int64(1)
+	for _, p := range n.members.peers {
+		if p.listed {
+			count++
+		}
+	}
+	return count
+}
+
 // addressesAsked orders the live instances for a customer by rendezvous hash,
 // so that a customer's callers stay on few instances.
 func (n *Node) addressesAsked(q event.AddressesAsked) {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -28,6 +28,28 @@
 	// LedgerShards is the number of ledger objects; it is the same on all
 	// instances and never changes for a deployment.
 	LedgerShards int `json:"ledgerShards"`
+	// Self is this instance's own entry of the instance list, if it is known
+	// before the list is read.
+	Self event.Instance `json:"self"`
+	// Without names the duties that the platform makes needless.
+	Without Duties `json:"without"`
+	// Policies holds where the platform holds the configuration, which has none.
+	Policies config.Policies `json:"policies"`
+}
+
+// Duties names duties that a platform can make needless.
+type Duties struct {
+	// Bills: the platform bills from logs, so that no answer waits for a line.
+	Bills bool `json:"bills,omitempty"`
+	// BegunRecords: a caller's request reaches one instance under its key, so
+	// that at most once follows from sending it once.
+	BegunRecords bool `json:"begunRecords,omitempty"`
+	// ConfigurationStore: the operator writes the configuration to the platform.
+	ConfigurationStore bool `json:"configurationStore,omitempty"`
+	// TargetReports: the instance list tells the targets' state in time.
+	TargetReports bool `json:"targetReports,omitempty"`
+	// QuarantineClaims: peers alone tell of bodies that crash targets.
+	QuarantineClaims bool `json:"quarantineClaims,omitempty"`
 }
 
 // Node is the decision core of one instance.
@@ -62,7 +84,9 @@
 	requests requestTable
 	waiting  dispatchState
 	stopping bool
-	stopped  bool
+	// refuseFrom is when new requests are refused, if the instance is stopping.
+	refuseFrom time.Duration
+	stopped    bool
 }
 
 // New returns a node that knows no configuration and no other instance.
@@ -81,6 +105,8 @@
 	n.quarantine = newQuarantineState()
 	n.ledgers = newLedgerState(s.LedgerShards)
 	n.transfers = newTransferState()
+	n.members.self = s.Self
+	n.quarantine.loaded = s.Without.QuarantineClaims
 	for i := range bill.Shards {
 		n.bills.logs = append(n.bills.logs, &billLog{log: bill.NewLog(i)})
 	}
@@ -119,8 +145,10 @@
 		n.platformResult(*e.PlatformResult)
 	case e.ObjectSeen != nil:
 		n.objectSeen(e.ObjectSeen.Object)
+	case e.ConfigRead != nil:
+		n.configRead(e.ConfigRead.Stored)
 	case e.InstancesListed != nil:
-		n.instancesListed(e.InstancesListed.Instances)
+		n.instancesListed(*e.InstancesListed)
 	case e.TargetReported != nil:
 		n.targetReported(*e.TargetReported)
 	case e.PeerReceived != nil:
@@ -135,6 +163,7 @@
 		n.statusAsked(*e.StatusAsked)
 	case e.ShutdownRequired != nil:
 		n.stopping = true
+		n.refuseFrom = n.now + e.ShutdownRequired.Linger
 		n.handOverBills()
 		n.confirmFacts()
 		n.members.news = true
@@ -182,7 +211,7 @@
 
 // tickShutdown ends a graceful stop once nothing is left to do.
 func (n *Node) tickShutdown() {
-	if !n.stopping || n.stopped || n.requests.open() > 0 {
+	if !n.stopping || n.stopped || n.now < n.refuseFrom || n.requests.open() > 0 {
 		return
 	}
 	if n.pendingBills() > 0 || n.begun.pending() > 0 {
--- a/core/node/quarantine.go
+++ b/core/node/quarantine.go
@@ -108,6 +108,9 @@
 		n.finishRefused(r, errkind.Quarantined)
 		return false
 	}
+	if n.settings.Without.QuarantineClaims {
+		return true
+	}
 	if r.claim != "" {
 		n.claimTarget(r, t.Name)
 		return false
@@ -202,6 +205,9 @@
 		slices.Sort(bodies)
 		n.tellSuspects(slices.Compact(bodies), n.members.peerNames())
 	}
+	if n.settings.Without.QuarantineClaims {
+		return
+	}
 	for _, body := range sortedKeys(n.quarantine.byBody) {
 		n.flySuspect(n.quarantine.byBody[body])
 	}
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -8,6 +8,7 @@
 	"plantainfield.example/core/bill"
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/retry"
 )
 
 // phase is where a request stands.
@@ -33,8 +34,10 @@
 	reserved int64
 	budgetWait
 	attempts int
-	attempt  string
-	target   string
+	// sent counts the attempts that may have reached their target.
+	sent    int
+	attempt string
+	target  string
 	// at is where the current attempt runs.
 	at *target
 	// dispatched is when the current attempt began.
@@ -129,7 +132,7 @@
 	if !n.ready() {
 		return errkind.NotReady
 	}
-	if n.stopping {
+	if n.stopping && n.now >= n.refuseFrom {
 		return errkind.Stopping
 	}
 	if other := n.requests.byID[r.id]; other != nil {
@@ -158,6 +161,10 @@
 // reserveOrWait sets the worst case of the next attempt aside, or waits for
 // the ledger.
 func (n *Node) reserveOrWait(r *request) {
+	if r.Budget == "" {
+		n.afterReserve(r)
+		return
+	}
 	if n.book.Account(r.Budget).Reserve(r.WorstCaseTokens) {
 		r.reserved = r.WorstCaseTokens
 		n.afterReserve(r)
@@ -169,7 +176,7 @@
 }
 
 func (n *Node) afterReserve(r *request) {
-	if !r.Idempotent && r.record == nil {
+	if !r.Idempotent && r.record == nil && !n.settings.Without.BegunRecords {
 		n.begin(r)
 		return
 	}
@@ -186,7 +193,7 @@
 func (n *Node) dispatch(r *request, t *target) {
 	r.attempts++
 	if r.attempts == 1 {
-		n.retries.FirstAttempt(n.configs.index.Document.Policies.Retries)
+		n.retries.FirstAttempt(n.retryPolicy())
 	}
 	r.attempt = fmt.Sprintf("%s-%s-%d-%d", n.settings.Name, n.settings.Incarnation, r.Request, r.attempts)
 	r.target, r.at = t.Name, t
@@ -236,6 +243,9 @@
 	delete(n.requests.byAttempt, e.Attempt)
 	n.sampleEnd(r, e)
 	n.releaseTarget(r, e)
+	if !e.Unsent {
+		r.sent++
+	}
 	defer n.roomAt(r.at)
 	n.settleAttempt(r, e)
 	n.judgeAttempt(r, e)
@@ -260,6 +270,9 @@
 // settleAttempt charges what the attempt consumed, or all of its reservation
 // where that is not known.
 func (n *Node) settleAttempt(r *request, e event.AttemptEnded) {
+	if r.Budget == "" {
+		return
+	}
 	used := r.reserved
 	if e.UsageKnown {
 		used = e.Usage
@@ -273,7 +286,6 @@
 
 // retryOrRefuse repeats the request at another target if that is allowed.
 func (n *Node) retryOrRefuse(r *request, allowed bool) {
-	p := n.configs.index.Document.Policies.Retries
 	if r.callerGone {
 		n.finishRefused(r, errkind.CallerGone)
 		return
@@ -282,7 +294,7 @@
 		n.finishRefused(r, errkind.Quarantined)
 		return
 	}
-	if !allowed || int64(r.attempts) >= p.MaxAttempts || !n.retries.Take() {
+	if !allowed || !n.attemptsLeft(r) {
 		n.finishRefused(r, r.lastFailure)
 		return
 	}
@@ -291,6 +303,29 @@
 	n.reserveOrWait(r)
 }
 
+// attemptsLeft tells whether the request may be sent to one more target, and
+// takes it off the retry budget. A first send needs no budget.
+func (n *Node) attemptsLeft(r *request) bool {
+	if r.sent == 0 {
+		return true
+	}
+	most := int(n.configs.index.Document.Policies.Retries.MaxAttempts)
+	if r.MaxAttempts > 0 {
+		most = r.MaxAttempts
+	}
+	return r.sent < most && n.retries.Take(n.retryPolicy())
+}
+
+// retryPolicy is the policy with this instance's part of the fleet's reserve.
+func (n *Node) retryPolicy() retry.Policy {
+	p := n.configs.index.Document.Policies.Retries
+	share := retry.Policy{RetryPolicy: p, Reserve: retry.DefaultReserve}
+	if p.FleetReserve > 0 {
+		share.Reserve = p.FleetReserve / max(1, n.fleetSize())
+	}
+	return share
+}
+
 // finishRefused ends a request with an error answer.
 func (n *Node) finishRefused(r *request, kind errkind.Kind) {
 	ran := ranOf(r, kind)
@@ -307,7 +342,7 @@
 	n.requests.remove(r)
 	n.emit(event.Action{Refuse: &event.Refuse{
 		Request: r.Request, Kind: kind, Ran: ran,
-		RetryAfter: n.retryAfter(r, kind),
+		RetryAfter: n.retryAfter(r, kind), BudgetCovers: n.budgetCovers(r, kind),
 	}})
 }
 
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -14,6 +14,10 @@
 // avoidAfterFailure is how long a target that failed gets no new attempts.
 const avoidAfterFailure = 2 * time.Second
 
+// avoidWhenFull is the same for a target that was full: a few times the work of
+// one short request.
+const avoidWhenFull = 200 * time.Millisecond
+
 // leavingHold is how long a target stays leaving after the last evidence. It
 // is longer than reports and peers' messages lag.
 const leavingHold = 5 * time.Second
@@ -89,7 +93,7 @@
 		if !t.serves(r.Serves) || !allowed(t) || slices.Contains(r.failedTargets, name) {
 			continue
 		}
-		if t.inFlight >= t.limiter.Limit(n.limits()) || !t.fresh(n.now, n.resumedAt) {
+		if t.inFlight >= t.limiter.Limit(n.limits()) || !n.known(t) {
 			full = true
 			continue
 		}
@@ -98,6 +102,11 @@
 	return open, full
 }
 
+// known tells whether the target's state is known well enough to give it work.
+func (n *Node) known(t *target) bool {
+	return n.settings.Without.TargetReports || t.fresh(n.now, n.resumedAt)
+}
+
 // releaseTarget ends an attempt's use of its target.
 func (n *Node) releaseTarget(r *request, e event.AttemptEnded) {
 	t := r.at
@@ -106,8 +115,10 @@
 		n.targetLeaving(t)
 		return
 	}
-	switch e.Outcome {
-	case event.AttemptNotStarted, event.AttemptFailed, event.AttemptCrashed:
+	switch {
+	case e.TargetBusy:
+		t.avoidUntil = n.now + avoidWhenFull
+	case e.Outcome == event.AttemptNotStarted, e.Outcome == event.AttemptFailed, e.Outcome == event.AttemptCrashed:
 		t.avoidUntil = n.now + avoidAfterFailure
 	}
 }
--- a/core/node/witness.go
+++ b/core/node/witness.go
@@ -334,7 +334,7 @@
 // billsKnown tells whether the ends of all bill logs are known, so that a new
 // line can say from where on it may stand.
 func (n *Node) billsKnown() bool {
-	return !slices.ContainsFunc(n.bills.logs, func(l *billLog) bool {
+	return n.settings.Without.Bills || !slices.ContainsFunc(n.bills.logs, func(l *billLog) bool {
 		_, ok := l.log.Head()
 		return !ok
 	})
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -12,32 +12,50 @@
 	perMille = 1000
 	// maxDelay caps the exponential delay.
 	maxDelay = 2 * time.Second
-	// reserve is the number of retries that are allowed before any first
-	// attempt has earned one.
-	reserve = 10
+	// DefaultReserve is the number of retries that an instance is allowed before
+	// any first attempt has earned one.
+	DefaultReserve = 10
 )
 
+// Policy is the fleet's policy with one instance's part of the reserve.
+type Policy struct {
+	config.RetryPolicy
+	// Reserve is the number of retries that can be saved up.
+	Reserve int64
+}
+
 // Budget bounds retries to a share of first attempts, so that a failure of
 // many targets does not multiply the load.
 type Budget struct {
+	// started is set once the reserve was credited.
+	started bool
 	// credit is in thousandths of a retry.
 	credit int64
 	// advance is the part of the first credit that is yet to be earned.
 	advance int64
 }
 
-// NewBudget returns a budget with a small reserve.
-func NewBudget() *Budget { return &Budget{credit: reserve * perMille, advance: reserve * perMille} }
+// NewBudget returns a budget whose reserve is full.
+func NewBudget() *Budget { return &Budget{} }
+
+// start credits the reserve in advance.
+func (b *Budget) start(p Policy) {
+	if !b.started {
+		b.started, b.credit, b.advance = true, p.Reserve*perMille, p.Reserve*perMille
+	}
+}
 
 // FirstAttempt earns a share of a retry.
-func (b *Budget) FirstAttempt(p config.RetryPolicy) {
+func (b *Budget) FirstAttempt(p Policy) {
+	b.start(p)
 	repaid := min(b.advance, p.BudgetPerMille)
 	b.advance -= repaid
-	b.credit = min(b.credit+p.BudgetPerMille-repaid, reserve*perMille)
+	b.credit = min(b.credit+p.BudgetPerMille-repaid, p.Reserve*perMille)
 }
 
 // Take spends one retry, or reports that the budget is used up.
-func (b *Budget) Take() bool {
+func (b *Budget) Take(p Policy) bool {
+	b.start(p)
 	if b.credit < perMille {
 		return false
 	}
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -14,7 +14,7 @@
 // share of first attempts, but for the few that an instance may start with.
 func TestBudgetBoundsRetries(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		p := config.Defaults().Policies.Retries
+		p := Policy{RetryPolicy: config.Defaults().Policies.Retries, Reserve: rapid.Int64Range(0, DefaultReserve).Draw(rt, "reserve")}
 		p.BudgetPerMille = rapid.Int64Range(0, perMille).Draw(rt, "share")
 		b := NewBudget()
 		var first, retries int64
@@ -24,11 +24,11 @@
 				first++
 			}
 			for range rapid.IntRange(0, 20).Draw(rt, "asked") {
-				if b.Take() {
+				if b.Take(p) {
 					retries++
 				}
 			}
-			if allowed := max(reserve, first*p.BudgetPerMille/perMille); retries > allowed {
+			if allowed := max(p.Reserve, first*p.BudgetPerMille/perMille); retries > allowed {
 				rt.Fatalf("%d retries for %d first attempts, at most %d allowed", retries, first, allowed)
 			}
 		}
--- /dev/null
+++ b/fleet/cmd/plantainfieldd/hosted.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"plantainfield.example/core/event"
+	"plantainfield.example/fleet/daemon"
+	"plantainfield.example/fleet/gateway"
+	"plantainfield.example/fleet/logring"
+	"plantainfield.example/fleet/runtime"
+	"plantainfield.example/platform"
+)
+
+// newHostedCommand runs an instance on the platform.
+func newHostedCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "hosted",
+		Short: "Run one instance on the platform",
+		Long:  "Runs one instance with the platform's settings file, whose path stands in $" + platform.SettingsVariable + ". SIGTERM stops it gracefully.",
+		Args:  cobra.NoArgs,
+		Run: func(*cobra.Command, []string) {
+			os.Exit(runHosted(os.Getenv(platform.SettingsVariable)))
+		},
+	}
+}
+
+// runHosted returns the exit code.
+func runHosted(path string) int {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitInvalid
+	}
+	log := newRingLogger()
+	defer func() { _ = log.Sync() }()
+	app := daemon.NewHosted(newHost(s, log), log)
+	if err := app.Err(); err != nil {
+		log.Error("start failed", zap.Error(err))
+		return 1
+	}
+	return runApp(app, log)
+}
+
+// newRingLogger returns a logger of JSON lines that never blocks.
+func newRingLogger() *zap.Logger {
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.TimeKey, encoder.EncodeTime = "time", timeEncoder
+	encoder.EncodeDuration = zapcore.StringDurationEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), logring.New(os.Stdout), zapcore.InfoLevel))
+}
+
+// newHost joins the platform's adapters.
+func newHost(s *platform.Settings, log *zap.Logger) *daemon.Host {
+	store := platform.NewStore(s.Platform.Address)
+	return &daemon.Host{
+		Settings: &s.Settings, Self: s.Self, Directory: s.Directory, Ready: s.Ready, Metrics: s.Metrics,
+		MemoryBytes: s.MemoryBytes, GracePeriod: s.GracePeriod, Retries: s.Retries, AddressTTL: s.AddressTTL,
+		EchoHeader: platform.HeaderAttempt, Protocol: platform.Messages{}, Platform: store,
+		Duties: func(loop *runtime.Loop, self event.Instance) []func(context.Context) {
+			w := platform.NewWatcher(store, loop, self, log)
+			return []func(context.Context){w.Configuration, w.Targets, w.Instances, w.Register}
+		},
+		DirectoryHandler: func(a *gateway.Addresses) http.Handler { return platform.DirectoryHandler(a) },
+		ReadyHandler:     platform.ReadinessHandler,
+	}
+}
--- a/fleet/cmd/plantainfieldd/main.go
+++ b/fleet/cmd/plantainfieldd/main.go
@@ -25,6 +25,7 @@
 			os.Exit(run(args[0], checkOnly))
 		},
 	}
+	cmd.AddCommand(newHostedCommand())
 	cmd.Flags().BoolVar(&checkOnly, "check", false, "check the settings file and exit")
 	if err := cmd.Execute(); err != nil {
 		os.Exit(exitInvalid)
--- a/fleet/daemon/metrics.go
+++ b/fleet/daemon/metrics.go
@@ -12,7 +12,7 @@
 // collector reads the instance's counters at each scrape.
 type collector struct {
 	loop    *runtime.Loop
-	callers *callers.Server
+	callers streamCounter
 
 	steps, peerDrops, platformDrops, refusals, generation, streams *prometheus.Desc
 }
@@ -21,8 +21,18 @@
 	return prometheus.NewDesc("plantainfield_"+name, help, labels, nil)
 }
 
+// streamCounter counts the requests being served.
+type streamCounter interface{ Streams() int64 }
+
 func newMetrics(loop *runtime.Loop, server *callers.Server) *prometheus.Registry {
-	c := &collector{
+	r := prometheus.NewRegistry()
+	r.MustRegister(newCollector(loop, server), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	r.MustRegister(server.Collectors()...)
+	return r
+}
+
+func newCollector(loop *runtime.Loop, server streamCounter) *collector {
+	return &collector{
 		loop: loop, callers: server,
 		steps:         desc("core_steps_total", "Inputs taken by the decision core."),
 		peerDrops:     desc("peer_messages_dropped_total", "Messages to peers that found no room in the ring."),
@@ -31,10 +41,6 @@
 		generation:    desc("configuration_generation", "Generation of the configuration in force."),
 		streams:       desc("caller_requests", "Requests of callers being served."),
 	}
-	r := prometheus.NewRegistry()
-	r.MustRegister(c, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	r.MustRegister(server.Collectors()...)
-	return r
 }
 
 // Describe implements prometheus.Collector.
@@ -67,3 +73,11 @@
 	gauge(c.generation, float64(generation))
 	gauge(c.streams, float64(c.callers.Streams()))
 }
+
+// hostedRegistry holds the metrics of an instance on a platform.
+func hostedRegistry(p hostedParams) *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(newCollector(p.Loop, p.Gateway), collectors.NewGoCollector())
+	r.MustRegister(p.Gateway.Collectors()...)
+	return r
+}
--- /dev/null
+++ b/fleet/gateway/addresses.go
@@ -0,0 +1,30 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"plantainfield.example/core/event"
+	"plantainfield.example/fleet/runtime"
+)
+
+// Addresses answers where callers should connect.
+type Addresses struct{ loop *runtime.Loop }
+
+// NewAddresses returns the answers of a loop.
+func NewAddresses(loop *runtime.Loop) *Addresses { return &Addresses{loop} }
+
+// Addresses returns IP:port of instances for a caller in a data centre, and how
+// long the answer may be kept.
+func (a *Addresses) Addresses(r *http.Request, _ string) ([]string, time.Duration) {
+	handle, ring := a.loop.Open()
+	defer a.loop.Close(handle)
+	a.loop.Post(event.Event{AddressesAsked: &event.AddressesAsked{Query: handle}})
+	select {
+	case got := <-ring:
+		return got.AnswerAddresses.Addresses, got.AnswerAddresses.TTL
+	case <-a.loop.Ended():
+	case <-r.Context().Done():
+	}
+	return nil, 0
+}
--- a/fleet/runtime/duties.go
+++ b/fleet/runtime/duties.go
@@ -39,19 +39,21 @@
 }
 
 func (l *Loop) adopt(a *event.AdoptConfig) {
-	var s config.Stored
-	if json.Unmarshal(a.Stored, &s) == nil {
-		l.index.Store(config.NewIndex(&s))
-	}
+	l.index.Store(config.NewIndex(a.Stored))
 }
 
 // minPlatformRate is the least rate of an instance's platform calls, in calls a
 // second, however large the fleet.
 const minPlatformRate = 1
 
+// Platform makes the core's calls of the platform.
+type Platform interface {
+	Do(ctx context.Context, call event.PlatformCall) event.PlatformResult
+}
+
 // ServePlatform makes the node's platform calls until ctx ends. The rate is
 // this instance's share of the fleet's, by the instance list.
-func (l *Loop) ServePlatform(ctx context.Context, client *platform.Client, fleetCallsPerSecond int) {
+func (l *Loop) ServePlatform(ctx context.Context, client Platform, fleetCallsPerSecond int) {
 	limiter := rate.NewLimiter(rate.Limit(fleetCallsPerSecond), fleetCallsPerSecond)
 	var duties sync.WaitGroup
 	for range platformDuties {
@@ -85,7 +87,7 @@
 	return count
 }
 
-func (l *Loop) platformDuty(ctx context.Context, client *platform.Client, limiter *rate.Limiter) {
+func (l *Loop) platformDuty(ctx context.Context, client Platform, limiter *rate.Limiter) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -16,7 +16,7 @@
   printf 'not formatted (run make fmt):\n%s\n' "$unformatted" >&2
   exit 1
 fi
-packages=(./core/... ./fleet/... ./standins/... ./bench/...)
+packages=(./core/... ./fleet/... ./platform/... ./standins/... ./bench/...)
 go vet "${packages[@]}"
 "$staticcheck" "${packages[@]}"
 bash tools/check-purity.sh
