--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -69,8 +69,9 @@
 }
 
 // SettleDue tells whether the settle period is over and starts the next one.
-func (b *Book) SettleDue(now time.Duration) bool {
-	if now-b.lastSettle < settlePeriod {
+// The period is longer where updates of the ledger are to be rare.
+func (b *Book) SettleDue(now, refill time.Duration) bool {
+	if now-b.lastSettle < max(settlePeriod, settleRefills*refill) {
 		return false
 	}
 	b.lastSettle = now
--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -12,12 +12,18 @@
 	perMille = 1000
 	// settlePeriod bounds how long spending stays unreported.
 	settlePeriod = 2 * time.Second
+	// settleRefills is the same in least times between two ledger updates.
+	settleRefills = 2
 	// lowWaterShare of the wanted size, in per mille, triggers a refill.
 	lowWaterPerMille = 500
 	// recentReturn is how long a return counts as a moment ago.
 	recentReturn = 500 * time.Millisecond
 	// highWaterPerMille of the wanted size triggers a return.
 	highWaterPerMille = 3000
+	// spreadLowPerMille and spreadHighPerMille are the same under "spread",
+	// which follows a budget that gets tight more closely.
+	spreadLowPerMille  = 700
+	spreadHighPerMille = 1500
 )
 
 // Sizing is what a grant's size is chosen from.
@@ -27,6 +33,10 @@
 	// when the ledger was last seen, both in tokens.
 	Prepaid         int64
 	LedgerAvailable int64
+	// Unspent is what is neither spent nor charged by the last known ledger, and
+	// Outstanding the part of it that all holders have, in tokens.
+	Unspent     int64
+	Outstanding int64
 	// Instances is the number of live instances.
 	Instances int64
 	// Excess is what was granted beyond a total that was lowered, in tokens.
@@ -43,6 +53,9 @@
 		return max(0, s.Prepaid/max(1, s.Instances)-used)
 	case config.GrantFixed:
 		return s.Policy.SizeTokens
+	case config.GrantSpread:
+		runway := int64(a.rate.at(now) * float64(s.Policy.RunwaySeconds))
+		return min(max(s.Policy.SizeTokens, runway), s.spreadable()/max(1, s.Instances))
 	default:
 		runway := int64(a.rate.at(now) * float64(s.Policy.RunwaySeconds))
 		share := (s.LedgerAvailable + a.Available()) * s.Policy.MaxSharePerMille / perMille
@@ -50,6 +63,29 @@
 	}
 }
 
+// spreadable is the part of a budget that all grants together may take. The
+// rest stays in the ledger for the instances that live after a crash of all
+// holders.
+func (s Sizing) spreadable() int64 {
+	return max(0, s.Unspent*s.Policy.MaxSharePerMille/perMille)
+}
+
+// refillable is what a grant may take from the ledger while no request waits.
+func (s Sizing) refillable() int64 {
+	if s.Policy.Policy != config.GrantSpread {
+		return s.LedgerAvailable
+	}
+	return min(s.LedgerAvailable, max(0, s.spreadable()-s.Outstanding))
+}
+
+// lowWater is the unspent grant below which a refill is due.
+func (s Sizing) lowWater(wanted int64) int64 {
+	if s.Policy.Policy == config.GrantSpread {
+		return wanted * spreadLowPerMille / perMille
+	}
+	return wanted * lowWaterPerMille / perMille
+}
+
 // Prepare makes the operation that is due, or returns nil. A prepared
 // operation stays open until See finds that it took effect.
 func (a *Account) Prepare(now time.Duration, holder ledger.Holder, s Sizing, settleDue bool) *ledger.Operation {
@@ -67,8 +103,8 @@
 	case op.Want > 0:
 	case s.Excess > 0 && available > 0 && !s.Waiting:
 		op.Return = min(available, s.Excess)
-	case available < wanted*lowWaterPerMille/perMille && s.LedgerAvailable > 0 && a.sequence > 0:
-		op.Want = wanted - available
+	case available < s.lowWater(wanted) && s.refillable() > 0 && (a.sequence > 0 || s.Policy.Policy == config.GrantSpread):
+		op.Want = min(wanted-available, s.refillable())
 	case s.returnDue(available, wanted):
 		op.Return = available - wanted
 	case a.transfers.unrecorded() > 0: // so that they can be sent on
@@ -101,6 +137,9 @@
 // returnDue tells whether an adaptive grant is larger than its use warrants.
 // Where peers can obtain small parts directly, those are not worth a write.
 func (s Sizing) returnDue(available, wanted int64) bool {
+	if s.Policy.Policy == config.GrantSpread {
+		return !s.Waiting && available > wanted*spreadHighPerMille/perMille
+	}
 	if s.Policy.Policy != config.GrantAdaptive || s.Waiting {
 		return false
 	}
--- a/core/budget/policy_test.go
+++ b/core/budget/policy_test.go
@@ -20,7 +20,8 @@
 func fresh(policy config.GrantPolicy) (*ledger.Budget, func(*Account, time.Duration) bool) {
 	b := &ledger.Budget{Prepaid: totals, Target: totals, Grants: map[ledger.Holder]*ledger.Grant{}}
 	return b, func(a *Account, now time.Duration) bool {
-		s := Sizing{Policy: policy, Prepaid: b.Prepaid, LedgerAvailable: b.Available(), Instances: 4, Excess: b.Committed() - b.Target}
+		s := Sizing{Policy: policy, Prepaid: b.Prepaid, LedgerAvailable: b.Available(), Instances: 4, Excess: b.Committed() - b.Target,
+			Unspent: max(0, b.Target-b.SettledTotal()), Outstanding: b.Outstanding()}
 		op := a.Prepare(now, self, s, false)
 		if op == nil {
 			return false
@@ -87,6 +88,43 @@
 			So(a.Available(), ShouldBeLessThanOrEqualTo, left*p.MaxSharePerMille/perMille)
 		})
 	})
+	Convey("A spread policy", t, func() {
+		p := config.GrantPolicy{Policy: config.GrantSpread, SizeTokens: 100, RunwaySeconds: 10, MaxSharePerMille: 600}
+		b, step := fresh(p)
+		var a Account
+		Convey("holds tokens before they are asked for", func() {
+			So(step(&a, 0), ShouldBeTrue)
+			So(a.Available(), ShouldEqual, 100)
+		})
+		Convey("leaves its reserve in the ledger", func() {
+			b.Apply(ledger.Operation{Holder: "n2/1", Sequence: 1, Want: 550})
+			step(&a, 0)
+			So(b.Outstanding(), ShouldEqual, 600)
+			Convey("but for requests that wait", func() {
+				a.Lack(200)
+				step(&a, 0)
+				So(a.Available(), ShouldBeGreaterThanOrEqualTo, 200)
+			})
+		})
+		Convey("returns tokens as the budget gets tight", func() {
+			step(&a, 0)
+			b.Apply(ledger.Operation{Holder: "n2/1", Sequence: 1, Want: 800, Spent: 0})
+			b.Apply(ledger.Operation{Holder: "n2/1", Sequence: 2, Spent: 800})
+			step(&a, time.Second)
+			So(a.Available(), ShouldEqual, 200*600/perMille/4)
+		})
+		Convey("recalls unspent tokens of a lowered total", func() {
+			a.Lack(200)
+			step(&a, 0)
+			a.Reserve(30)
+			b.SetTarget(50, 1)
+			for range 5 {
+				step(&a, 0)
+			}
+			So(b.Prepaid, ShouldEqual, 50)
+			So(a.Available(), ShouldBeLessThanOrEqualTo, 20)
+		})
+	})
 	Convey("A lowered total recalls unspent tokens under each policy", t, func() {
 		for _, name := range []string{config.GrantStatic, config.GrantFixed, config.GrantAdaptive} {
 			var a Account
--- a/core/budget/property_test.go
+++ b/core/budget/property_test.go
@@ -53,7 +53,7 @@
 func newModel(rt *rapid.T) *model {
 	m := &model{target: 1000, most: 1000, generation: 1}
 	m.policy = config.GrantPolicy{SizeTokens: 100, RunwaySeconds: 5, MaxSharePerMille: 300, PeerTransfer: true}
-	m.policy.Policy = rapid.SampledFrom([]string{config.GrantStatic, config.GrantFixed, config.GrantAdaptive}).Draw(rt, "policy")
+	m.policy.Policy = rapid.SampledFrom([]string{config.GrantStatic, config.GrantFixed, config.GrantAdaptive, config.GrantSpread}).Draw(rt, "policy")
 	for i := range 4 {
 		m.holders = append(m.holders, &holder{name: ledger.Holder(fmt.Sprintf("n%d/1", i))})
 	}
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -101,18 +101,21 @@
 
 // GrantPolicy sizes the part of a budget that one instance holds.
 type GrantPolicy struct {
-	// Policy is "static", "fixed" or "adaptive".
-	Policy string `json:"policy" enum:"static,fixed,adaptive"`
+	// Policy is "static", "fixed", "adaptive" or "spread".
+	Policy string `json:"policy" enum:"static,fixed,adaptive,spread"`
 	// SizeTokens is the amount asked for at a time by "fixed", and the
-	// smallest by "adaptive", in tokens.
+	// smallest by "adaptive" and "spread", in tokens.
 	SizeTokens int64 `json:"sizeTokens" min:"1" max:"1125899906842624"`
 	// RunwaySeconds is how long a grant should last at the observed rate of
-	// spending under "adaptive". A longer runway refuses less in an outage and
-	// strands more after a crash.
+	// spending under "adaptive" and "spread". A longer runway refuses less in an
+	// outage and strands more after a crash.
 	RunwaySeconds int64 `json:"runwaySeconds" min:"1" max:"86400"`
 	// MaxSharePerMille is the largest part of what a budget has left that one grant
-	// takes, in per mille.
+	// takes, in per mille; under "spread", the part that all grants together take.
 	MaxSharePerMille int64 `json:"maxSharePerMille" min:"1" max:"1000"`
+	// RefillMillis is the least time between two ledger updates of an instance
+	// that no request waits for, in milliseconds.
+	RefillMillis int64 `json:"refillMillis,omitempty" min:"0" max:"60000"`
 	// PeerTransfer lets instances move parts of their grants to each other.
 	PeerTransfer bool `json:"peerTransfer"`
 }
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -14,6 +14,7 @@
 	GrantStatic   = "static"
 	GrantFixed    = "fixed"
 	GrantAdaptive = "adaptive"
+	GrantSpread   = "spread"
 
 	RouteAffinity    = "affinity"
 	RouteLeastLoaded = "least_loaded"
--- a/core/node/closing.go
+++ b/core/node/closing.go
@@ -20,6 +20,9 @@
 	// the whole fleet to 200 a second.
 	refreshPeriod      = 500 * time.Millisecond
 	refreshPerInstance = 5 * time.Millisecond
+	// refreshRefills is the least time between them in least times between two
+	// updates.
+	refreshRefills = 3
 )
 
 // refreshState paces the reads that keep the view of the ledger fresh.
@@ -48,7 +51,7 @@
 	if n.now < r.next {
 		return
 	}
-	r.next = n.now + max(refreshPeriod, time.Duration(n.liveInstances())*refreshPerInstance)
+	r.next = n.now + max(refreshPeriod, refreshRefills*n.refillPeriod(), time.Duration(n.liveInstances())*refreshPerInstance)
 	count := len(n.ledgers.shards)
 	for i := range count {
 		s := n.ledgers.shards[(r.cursor+i)%count]
--- a/core/node/comparison_test.go
+++ b/core/node/comparison_test.go
@@ -108,7 +108,7 @@
 func TestGrantPoliciesCompared(t *testing.T) {
 	t.Logf("%-9s %-9s %-8s %9s %7s %14s %9s %12s", "policy", "transfers", "fault", "overspend", "served", "false refusals", "stranded", "ledger calls")
 	for _, fault := range []string{"none", "outage", "crashes"} {
-		for _, policy := range []string{config.GrantStatic, config.GrantFixed, config.GrantAdaptive} {
+		for _, policy := range []string{config.GrantStatic, config.GrantFixed, config.GrantAdaptive, config.GrantSpread} {
 			for _, transfer := range []bool{false, true} {
 				c := compare(policy, transfer, fault)
 				t.Logf("%-9s %-9v %-8s %9d %7d %14d %9d %12d", policy, transfer, fault, c.overspend, c.served, c.falseRefusals, c.stranded, c.calls)
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"plantainfield.example/core/budget"
+	"plantainfield.example/core/config"
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/ledger"
@@ -29,6 +30,10 @@
 	// resumeAt is when the flight goes on after such a one, or 0.
 	conflicts int
 	resumeAt  time.Duration
+	// seenAt is when the shard was last read or written; nextFlight is when the
+	// next update may begin that no request waits for.
+	seenAt     time.Duration
+	nextFlight time.Duration
 }
 
 type ledgerState struct {
@@ -56,7 +61,7 @@
 	if n.configs.index == nil {
 		return
 	}
-	if n.book.SettleDue(n.now) {
+	if n.book.SettleDue(n.now, n.refillPeriod()) {
 		for _, s := range n.ledgers.shards {
 			s.settle = true
 		}
@@ -86,6 +91,10 @@
 		n.ledgerDenies(s, errkind.BudgetUnavailable)
 		return
 	}
+	if n.now < s.nextFlight && len(n.waitingFor(s)) == 0 && !n.stopping {
+		return
+	}
+	n.prefetch(s)
 	n.book.Untouch(s.index)
 	ops := n.prepareOperations(s)
 	if len(ops) == 0 {
@@ -93,13 +102,37 @@
 		return
 	}
 	s.flying = true
-	if s.known {
+	s.nextFlight = n.now + n.refillPeriod()
+	if s.known && (n.refillPeriod() == 0 || n.now-s.seenAt < freshLedger) {
 		n.updateLedger(s, ops)
 	} else {
 		n.readLedger(s)
 	}
 }
 
+// freshLedger is the age up to which a shard is probably unchanged where
+// updates are rare: a read first costs less than a conflict.
+const freshLedger = 50 * time.Millisecond
+
+// refillPeriod is the least time between two updates that no request waits for.
+func (n *Node) refillPeriod() time.Duration {
+	return time.Duration(n.configs.index.Document.Policies.Grants.RefillMillis) * time.Millisecond
+}
+
+// prefetch opens the accounts of all budgets of a shard under a policy that
+// holds tokens before they are asked for.
+func (n *Node) prefetch(s *ledgerShard) {
+	if n.configs.index.Document.Policies.Grants.Policy != config.GrantSpread {
+		return
+	}
+	for i := range n.configs.index.Document.Budgets {
+		name := n.configs.index.Document.Budgets[i].Name
+		if n.ledgers.shardOf(name) == s && n.book.Look(name) == nil {
+			n.book.Account(name)
+		}
+	}
+}
+
 // prepareOperations collects the operations that are due in a shard.
 func (n *Node) prepareOperations(s *ledgerShard) map[string]*ledger.Operation {
 	n.collectLacks(s)
@@ -134,7 +167,7 @@
 func (n *Node) sizing(s *ledgerShard, name string) budget.Sizing {
 	sz := budget.Sizing{Policy: n.configs.index.Document.Policies.Grants, Instances: n.liveInstances(), Waiting: n.lacksTokens(name)}
 	if b := n.configs.index.Budget(name); b != nil {
-		sz.Prepaid, sz.LedgerAvailable = b.PrepaidTokens, b.PrepaidTokens
+		sz.Prepaid, sz.LedgerAvailable, sz.Unspent = b.PrepaidTokens, b.PrepaidTokens, b.PrepaidTokens
 	}
 	b := s.shard.Budgets[name]
 	if b == nil {
@@ -147,6 +180,7 @@
 	sz.Prepaid = total
 	sz.LedgerAvailable = max(0, total-b.Committed())
 	sz.Excess = b.Committed() - total
+	sz.Unspent, sz.Outstanding = max(0, total-b.SettledTotal()), b.Outstanding()
 	return sz
 }
 
@@ -176,7 +210,7 @@
 	if err != nil {
 		return false
 	}
-	s.version, s.value, s.shard, s.known = o.Version, o.Value, shard, true
+	s.version, s.value, s.shard, s.known, s.seenAt = o.Version, o.Value, shard, true, n.now
 	return true
 }
 
@@ -232,12 +266,21 @@
 	n.call(op, o, func(r event.PlatformResult) {
 		switch r.Status {
 		case event.PlatformOK:
-			s.version, s.value, s.shard = r.Object.Version, raw, next
+			s.version, s.value, s.shard, s.seenAt = r.Object.Version, raw, next, n.now
 			n.resolveApplied(s)
 			n.ledgerLanded(s)
 		case event.PlatformUnavailable:
 			n.ledgerFailed(s)
-		default: // conflict, or the answer was lost: read back
+		case event.PlatformConflict:
+			s.known = false
+			if r.Object.Value != nil && s.conflicts == 0 && n.takeLedger(s, r.Object) {
+				s.conflicts++
+				n.resolveApplied(s)
+				n.continueFlight(s)
+				return
+			}
+			n.readAfterConflict(s)
+		default: // the answer was lost: read back
 			s.known = false
 			n.readAfterConflict(s)
 		}
--- a/core/node/tokens_property_test.go
+++ b/core/node/tokens_property_test.go
@@ -23,7 +23,7 @@
 
 func newTokenRun(rt *rapid.T) *tokenRun {
 	r := &tokenRun{most: 600}
-	policy := rapid.SampledFrom([]string{config.GrantStatic, config.GrantFixed, config.GrantAdaptive}).Draw(rt, "policy")
+	policy := rapid.SampledFrom([]string{config.GrantStatic, config.GrantFixed, config.GrantAdaptive, config.GrantSpread}).Draw(rt, "policy")
 	transfer := rapid.Bool().Draw(rt, "transfer")
 	r.world = readyWorldWith(3, r.most, func(p *config.GrantPolicy) { p.Policy, p.PeerTransfer = policy, transfer })
 	r.document = budgetDocument(r.most)
--- a/fleet/cmd/plantainfieldd/hosted.go
+++ b/fleet/cmd/plantainfieldd/hosted.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
@@ -40,6 +42,7 @@
 	}
 	log := newRingLogger()
 	defer func() { _ = log.Sync() }()
+	go reloadOnHangup(path, log)
 	app := daemon.NewHosted(newHost(s, log), log)
 	if err := app.Err(); err != nil {
 		log.Error("start failed", zap.Error(err))
@@ -48,6 +51,22 @@
 	return runApp(app, log)
 }
 
+// reloadOnHangup reads the settings file again at each SIGHUP. What it says of
+// addresses holds from the next start on.
+func reloadOnHangup(path string, log *zap.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	for range hangups {
+		s, err := platform.LoadSettings(path)
+		if err != nil {
+			log.Error("settings not reloaded", zap.Error(err))
+			continue
+		}
+		daemon.SetMemoryLimit(s.MemoryBytes)
+		log.Info("settings reloaded", zap.Int64("memory_bytes", s.MemoryBytes))
+	}
+}
+
 // newRingLogger returns a logger of JSON lines that never blocks.
 func newRingLogger() *zap.Logger {
 	encoder := zap.NewProductionEncoderConfig()
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -56,9 +56,12 @@
 // works harder: the rest is for stacks, buffers of the kernel and bursts.
 const memoryShare = 600
 
+// SetMemoryLimit tells the collector how much the process may use.
+func SetMemoryLimit(bytes int64) { debug.SetMemoryLimit(bytes / 1000 * memoryShare) }
+
 // NewHosted returns the application of one instance on a platform.
 func NewHosted(h *Host, log *zap.Logger) *fx.App {
-	debug.SetMemoryLimit(h.MemoryBytes / 1000 * memoryShare)
+	SetMemoryLimit(h.MemoryBytes)
 	return fx.New(
 		fx.Supply(h, h.Settings, log),
 		fx.WithLogger(func() fxevent.Logger {
@@ -86,6 +89,7 @@
 // hostedPolicies are the policies of a fleet whose operator states none.
 func hostedPolicies(h *Host) config.Policies {
 	p := config.Defaults().Policies
+	p.Grants = config.GrantPolicy{Policy: config.GrantSpread, SizeTokens: 60_000, RunwaySeconds: 15, MaxSharePerMille: 600, PeerTransfer: true, RefillMillis: 1500}
 	p.Retries = h.Retries
 	p.Retries.MaxAttempts = 2
 	p.Retries.BaseDelayMillis = 10
--- a/fleet/upstream/socket.go
+++ b/fleet/upstream/socket.go
@@ -20,8 +20,8 @@
 	probeCount       = 2
 )
 
-// setSocketOptions lets the kernel end a connection whose peer has gone silent.
-func setSocketOptions(_, _ string, raw syscall.RawConn) error {
+// SetSocketOptions lets the kernel end a connection whose peer has gone silent.
+func SetSocketOptions(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	set := func(level, option, value int) func(uintptr) {
 		return func(fd uintptr) {
--- a/fleet/upstream/upstream.go
+++ b/fleet/upstream/upstream.go
@@ -62,7 +62,7 @@
 func NewClient(echoHeader string) *Client {
 	return &Client{
 		echo:   echoHeader,
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setSocketOptions},
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: SetSocketOptions},
 		idle:   map[string][]*conn{},
 	}
 }
