--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -43,6 +43,8 @@
 	Excess int64
 	// Waiting is set while requests wait for tokens: nothing is returned then.
 	Waiting bool
+	// Stopping is set once the instance is to end: it holds nothing in advance.
+	Stopping bool
 }
 
 // WantedSize is the unspent grant that the policy aims at, in tokens.
@@ -54,6 +56,9 @@
 	case config.GrantFixed:
 		return s.Policy.SizeTokens
 	case config.GrantSpread:
+		if s.Stopping {
+			return 0
+		}
 		runway := int64(a.rate.at(now) * float64(s.Policy.RunwaySeconds))
 		return min(max(s.Policy.SizeTokens, runway), s.spreadable()/max(1, s.Instances))
 	default:
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -122,8 +122,10 @@
 
 // RoutingPolicy chooses among targets.
 type RoutingPolicy struct {
-	// Policy is "affinity", "least_loaded", "power_of_two" or "round_robin".
-	Policy string `json:"policy" enum:"affinity,least_loaded,power_of_two,round_robin"`
+	// Policy is "affinity", "least_loaded", "power_of_two", "round_robin" or
+	// "least_work", under which instances tell each other of the prompt tokens
+	// that they have sent and that are not yet read.
+	Policy string `json:"policy" enum:"affinity,least_loaded,power_of_two,round_robin,least_work"`
 	// LoadBoundPerMille bounds a target's load under "affinity", as a share of
 	// the mean load in per mille (1250 is 1.25 times the mean).
 	LoadBoundPerMille int64 `json:"loadBoundPerMille" min:"1000" max:"10000"`
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -20,6 +20,7 @@
 	RouteLeastLoaded = "least_loaded"
 	RoutePowerOfTwo  = "power_of_two"
 	RouteRoundRobin  = "round_robin"
+	RouteLeastWork   = "least_work"
 
 	LimitFixed    = "fixed"
 	LimitAdaptive = "adaptive"
--- a/core/event/action.go
+++ b/core/event/action.go
@@ -22,6 +22,21 @@
 	AnswerAddresses *AnswerAddresses `json:"answerAddresses,omitempty"`
 	AnswerStatus    *AnswerStatus    `json:"answerStatus,omitempty"`
 	ShutdownDone    *ShutdownDone    `json:"shutdownDone,omitempty"`
+	Note            *Note            `json:"note,omitempty"`
+}
+
+// Note is a change of what the core believes, for the log.
+type Note struct {
+	// Subject says what the note is of; it is one of a small set.
+	Subject string `json:"subject"`
+	// Fields are the inputs and the outcome.
+	Fields []Field `json:"fields,omitempty"`
+}
+
+// Field is one named value of a note: a string, a number or a duration.
+type Field struct {
+	Name  string `json:"name"`
+	Value any    `json:"value"`
 }
 
 // Dispatch starts an attempt at a target.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -8,6 +8,7 @@
 
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/errkind"
+	"plantainfield.example/core/placement"
 )
 
 // Input is one step's input.
@@ -76,6 +77,8 @@
 	WorstCaseTokens int64 `json:"worstCaseTokens"`
 	// PrefixHashes identify growing prefixes of the prompt, shortest first.
 	PrefixHashes []uint64 `json:"prefixHashes,omitempty"`
+	// Parts are the prompt's parts in order, if the caller states them.
+	Parts []placement.Part `json:"parts,omitempty"`
 	// Priority orders waiting requests; a higher value goes first.
 	Priority int `json:"priority,omitempty"`
 	// Deadline is the longest wait for the first token; 0 for the default.
--- a/core/event/peer.go
+++ b/core/event/peer.go
@@ -29,6 +29,22 @@
 
 	TransferRequest *TransferRequest `json:"transferRequest,omitempty"`
 	Transfer        *Transfer        `json:"transfer,omitempty"`
+	Loads           *Loads           `json:"loads,omitempty"`
+}
+
+// Loads tells a peer what the sender has in flight at targets.
+type Loads struct {
+	Targets []TargetLoad `json:"t,omitempty"`
+}
+
+// TargetLoad is one instance's work at a target. Its JSON is short, for it is
+// sent often.
+type TargetLoad struct {
+	Target string `json:"n"`
+	// Unread is the number of prompt tokens that the target has not yet read.
+	Unread int64 `json:"u,omitempty"`
+	// Running is the number of requests.
+	Running int `json:"r"`
 }
 
 // Heartbeat tells a peer that the sender lives and what it knows.
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -91,7 +91,7 @@
 		n.ledgerDenies(s, errkind.BudgetUnavailable)
 		return
 	}
-	if n.now < s.nextFlight && len(n.waitingFor(s)) == 0 && !n.stopping {
+	if n.now < s.nextFlight && len(n.waitingFor(s)) == 0 && (!n.stopping || n.requests.open() > 0) {
 		return
 	}
 	n.prefetch(s)
@@ -102,7 +102,7 @@
 		return
 	}
 	s.flying = true
-	s.nextFlight = n.now + n.refillPeriod()
+	s.nextFlight = n.now + n.flightPause()
 	if s.known && (n.refillPeriod() == 0 || n.now-s.seenAt < freshLedger) {
 		n.updateLedger(s, ops)
 	} else {
@@ -119,10 +119,22 @@
 	return time.Duration(n.configs.index.Document.Policies.Grants.RefillMillis) * time.Millisecond
 }
 
+// stopFlightPause is the least time between two updates of an instance that is
+// stopping: it returns what requests leave while it may be killed any moment.
+const stopFlightPause = 300 * time.Millisecond
+
+// flightPause is the time from one update to the next that no request waits for.
+func (n *Node) flightPause() time.Duration {
+	if n.stopping {
+		return min(n.refillPeriod(), stopFlightPause)
+	}
+	return n.refillPeriod()
+}
+
 // prefetch opens the accounts of all budgets of a shard under a policy that
 // holds tokens before they are asked for.
 func (n *Node) prefetch(s *ledgerShard) {
-	if n.configs.index.Document.Policies.Grants.Policy != config.GrantSpread {
+	if n.stopping || n.configs.index.Document.Policies.Grants.Policy != config.GrantSpread {
 		return
 	}
 	for i := range n.configs.index.Document.Budgets {
@@ -165,7 +177,10 @@
 }
 
 func (n *Node) sizing(s *ledgerShard, name string) budget.Sizing {
-	sz := budget.Sizing{Policy: n.configs.index.Document.Policies.Grants, Instances: n.liveInstances(), Waiting: n.lacksTokens(name)}
+	sz := budget.Sizing{
+		Policy: n.configs.index.Document.Policies.Grants, Instances: n.liveInstances(),
+		Waiting: n.lacksTokens(name), Stopping: n.stopping,
+	}
 	if b := n.configs.index.Budget(name); b != nil {
 		sz.Prepaid, sz.LedgerAvailable, sz.Unspent = b.PrepaidTokens, b.PrepaidTokens, b.PrepaidTokens
 	}
@@ -267,6 +282,7 @@
 		switch r.Status {
 		case event.PlatformOK:
 			s.version, s.value, s.shard, s.seenAt = r.Object.Version, raw, next, n.now
+			n.noteLedger(s, len(ops))
 			n.resolveApplied(s)
 			n.ledgerLanded(s)
 		case event.PlatformUnavailable:
@@ -305,6 +321,21 @@
 	s.resumeAt = n.now + time.Duration(n.rng.Int64N(int64(delay))) + 1
 }
 
+// noteLedger logs what an update of the ledger left, summed over its budgets.
+func (n *Node) noteLedger(s *ledgerShard, operations int) {
+	var prepaid, settled, outstanding, own int64
+	for _, name := range sortedKeys(s.shard.Budgets) {
+		b := s.shard.Budgets[name]
+		prepaid += b.Prepaid
+		settled += b.SettledTotal()
+		outstanding += b.Outstanding()
+	}
+	for _, name := range n.book.InShard(s.index) {
+		own += n.book.Look(name).Available()
+	}
+	n.note("ledger updated", "version", s.version, "operations", operations, "prepaid", prepaid, "settled", settled, "outstanding", outstanding, "own_unspent", own)
+}
+
 // ledgerLanded ends a flight and lets waiting requests try again.
 func (n *Node) ledgerLanded(s *ledgerShard) {
 	s.flying, s.failures, s.conflicts = false, 0, 0
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -42,6 +42,7 @@
 	// stoppingAt and silentAt are the last times at which that was confirmed.
 	stoppingAt time.Duration
 	silentAt   time.Duration
+	loads      peerLoads
 }
 
 // memberState is the fleet as this instance sees it.
@@ -59,6 +60,10 @@
 	// silent.
 	contradictUntil time.Duration
 	lastHeard       time.Duration
+	// nextLoads is when peers are told of targets' loads next; loadsEmpty is set
+	// if the last message said that there is none.
+	nextLoads  time.Duration
+	loadsEmpty bool
 	// regainedAt is when the platform last came back into reach.
 	regainedAt time.Duration
 	seekFrom   int
@@ -201,6 +206,8 @@
 		n.transferRequested(p, m.TransferRequest)
 	case m.Transfer != nil:
 		n.transferReceived(p, m.Transfer)
+	case m.Loads != nil:
+		n.loadsTold(p, m.Loads)
 	}
 }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -174,6 +174,7 @@
 func (n *Node) tick() {
 	n.tickConfig()
 	n.tickMembers()
+	n.tickLoads()
 	n.tickRequests()
 	n.tickBegun()
 	n.tickBills()
@@ -185,6 +186,15 @@
 
 func (n *Node) emit(a event.Action) { n.actions = append(n.actions, a) }
 
+// note tells the log of a change of belief; fields are names and values in turn.
+func (n *Node) note(subject string, fields ...any) {
+	note := &event.Note{Subject: subject}
+	for i := 0; i+1 < len(fields); i += 2 {
+		note.Fields = append(note.Fields, event.Field{Name: fields[i].(string), Value: fields[i+1]})
+	}
+	n.emit(event.Action{Note: note})
+}
+
 // call makes a platform call; then runs with its result.
 func (n *Node) call(op event.PlatformOp, o event.Object, then func(event.PlatformResult)) {
 	n.lastCall++
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -42,6 +42,8 @@
 	at *target
 	// dispatched is when the current attempt began.
 	dispatched time.Duration
+	// unread is the number of prompt tokens that the target has not yet read.
+	unread int64
 	// comeBack overrides the kind's time to come back after a refusal.
 	comeBack time.Duration
 	// failedTargets are not tried again.
@@ -203,6 +205,7 @@
 	t.inFlight++
 	t.limiter.Started(n.limits(), t.inFlight)
 	t.load.Started(t.inFlight)
+	t.beginRead(r)
 	t.prefixes.Used(r.PrefixHashes, n.now)
 	n.emit(event.Action{Dispatch: &event.Dispatch{
 		Request: r.Request, Attempt: r.attempt, Stream: r.id.Digest(),
@@ -213,6 +216,7 @@
 func (n *Node) firstToken(attempt string) {
 	if r := n.requests.byAttempt[attempt]; r != nil {
 		r.mayHaveRun = true
+		r.at.endRead(r)
 		n.sampleFirstToken(r)
 	}
 }
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -29,6 +29,9 @@
 	load     routing.Load
 	prefixes *routing.Prefixes
 	inFlight int
+	// unread is the number of prompt tokens that this instance has sent and that
+	// the target has not yet read.
+	unread int64
 	// since is when the target became known; reportedAt when it last reported
 	// and reportEvery the smoothed time between its reports, both 0 before.
 	since       time.Duration
@@ -74,6 +77,9 @@
 		}
 		return nil, errkind.NoTarget
 	}
+	if n.sharesLoads() {
+		return n.leastWork(r, open), errkind.None
+	}
 	candidates := make([]routing.Candidate, 0, len(open))
 	for _, t := range open {
 		candidates = append(candidates, routing.Candidate{
@@ -111,6 +117,7 @@
 func (n *Node) releaseTarget(r *request, e event.AttemptEnded) {
 	t := r.at
 	t.inFlight--
+	t.endRead(r)
 	if e.TargetLeaving {
 		n.targetLeaving(t)
 		return
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -77,19 +77,28 @@
 // hostedStartTimeout is long for a start on a small share of a processor.
 const hostedStartTimeout = 30 * time.Second
 
-func newHostedLoop(h *Host, id identity) *runtime.Loop {
+func newHostedLoop(h *Host, id identity, log *zap.Logger) *runtime.Loop {
 	h.Self.Incarnation = id.incarnation
-	return runtime.NewLoop(node.Settings{
+	loop := runtime.NewLoop(node.Settings{
 		Name: id.name, Incarnation: id.incarnation, DataCentre: h.Self.DataCentre, LedgerShards: h.Settings.LedgerShards, Self: h.Self,
 		Without:  node.Duties{Bills: true, BegunRecords: true, ConfigurationStore: true, TargetReports: true, QuarantineClaims: true},
 		Policies: hostedPolicies(h),
 	})
+	loop.LogNotes(func(n event.Note) {
+		fields := make([]zap.Field, 0, len(n.Fields))
+		for _, f := range n.Fields {
+			fields = append(fields, zap.Any(f.Name, f.Value))
+		}
+		log.Info(n.Subject, fields...)
+	})
+	return loop
 }
 
 // hostedPolicies are the policies of a fleet whose operator states none.
 func hostedPolicies(h *Host) config.Policies {
 	p := config.Defaults().Policies
-	p.Grants = config.GrantPolicy{Policy: config.GrantSpread, SizeTokens: 60_000, RunwaySeconds: 15, MaxSharePerMille: 600, PeerTransfer: true, RefillMillis: 1500}
+	p.Grants = config.GrantPolicy{Policy: config.GrantSpread, SizeTokens: 15_000, RunwaySeconds: 12, MaxSharePerMille: 600, PeerTransfer: true, RefillMillis: 1500}
+	p.Routing.Policy = config.RouteLeastWork
 	p.Retries = h.Retries
 	p.Retries.MaxAttempts = 2
 	p.Retries.BaseDelayMillis = 10
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -52,8 +52,24 @@
 type relay struct {
 	// begun is set once a byte of the answer may have reached the caller.
 	begun bool
-	// events counts the whole events of a stream.
+	// events counts the events of a stream.
 	events events
+	// firstAfter is the time from the request to the stream's first part,
+	// longestPause the longest time between two parts, and last the time of the
+	// last one.
+	firstAfter, longestPause time.Duration
+	last                     time.Time
+}
+
+// notePart takes that a part of the stream has come.
+func (r *relay) notePart(arrived time.Time) {
+	now := time.Now()
+	if r.last.IsZero() {
+		r.firstAfter = now.Sub(arrived)
+	} else {
+		r.longestPause = max(r.longestPause, now.Sub(r.last))
+	}
+	r.last = now
 }
 
 // attempt runs one attempt at a target and relays its answer.
@@ -75,7 +91,8 @@
 	end.Usage = x.usage(end)
 	end.BytesDelivered = x.relay.begun
 	x.log.Info("attempt ended", zap.String("target", d.Target), zap.String("outcome", string(end.Outcome)),
-		zap.Int64("usage", end.Usage), zap.Int("events", x.relay.events.count), zap.Duration("took", time.Since(began)), zap.Error(err))
+		zap.Int64("usage", end.Usage), zap.Int("events", x.relay.events.count), zap.Duration("took", time.Since(began)),
+		zap.Duration("waited", began.Sub(x.arrived)), zap.Duration("first", x.relay.firstAfter), zap.Duration("pause", x.relay.longestPause), zap.Int64("prompt", x.call.PromptTokens), zap.Error(err))
 	return end
 }
 
@@ -196,6 +213,7 @@
 		x.server.metrics.first(x.route, x.arrived)
 		x.beginStream(resp)
 	}
+	x.relay.notePart(x.arrived)
 	x.relay.events.add(part)
 	if _, err := x.w.Write(part); err != nil {
 		return err
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -15,6 +15,7 @@
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/placement"
 	"plantainfield.example/fleet/runtime"
 	"plantainfield.example/fleet/settings"
 	"plantainfield.example/fleet/upstream"
@@ -150,6 +151,7 @@
 	}
 	for _, p := range x.call.Parts {
 		a.PrefixHashes = append(a.PrefixHashes, p.ID)
+		a.Parts = append(a.Parts, placement.Part(p))
 	}
 	return a
 }
--- a/fleet/runtime/loop.go
+++ b/fleet/runtime/loop.go
@@ -49,6 +49,8 @@
 	// ended is closed once Run has returned.
 	ended    chan struct{}
 	counters Counters
+	// notes takes the core's notes for the log; it must not block.
+	notes func(event.Note)
 }
 
 // Counters counts what the loop did, for metrics.
@@ -71,9 +73,14 @@
 		stopped:     make(chan struct{}),
 		listChanged: make(chan struct{}, 1),
 		ended:       make(chan struct{}),
+		notes:       func(event.Note) {},
 	}
 }
 
+// LogNotes sends the core's notes to a function that never blocks. It must be
+// called before Run.
+func (l *Loop) LogNotes(to func(event.Note)) { l.notes = to }
+
 // Index returns the configuration in force, or nil before there is one.
 func (l *Loop) Index() *config.Index { return l.index.Load() }
 
@@ -189,6 +196,8 @@
 		}
 	case a.AdoptConfig != nil:
 		l.adopt(a.AdoptConfig)
+	case a.Note != nil:
+		l.notes(*a.Note)
 	case a.ShutdownDone != nil:
 		l.stopOnce.Do(func() { close(l.stopped) })
 	default:
