Name all listed instances to callers while no peer is heard

Cause: an instance that is cut off from all peers named itself alone, so that its data centre's callers gathered on it.

--- a/core/node/members.go
+++ b/core/node/members.go
@@ -64,6 +64,8 @@
 	// if the last message said that there is none.
 	nextLoads  time.Duration
 	loadsEmpty bool
+	// named is the number of addresses in the last answer to a caller.
+	named int
 	// regainedAt is when the platform last came back into reach.
 	regainedAt time.Duration
 	seekFrom   int
@@ -234,6 +236,15 @@
 	return count
 }
 
+// mayServe tells whether callers may find the peer up though this instance hears
+// of none: what cuts it off from all peers need not cut callers off from them.
+func (n *Node) mayServe(p *peer) bool {
+	if !p.listed || p.State == event.StateLeaving || p.stopping {
+		return false
+	}
+	return n.now-max(n.members.lastHeard, n.resumedAt) >= isolationTimeout
+}
+
 // addressesAsked orders the live instances for a customer by rendezvous hash,
 // so that a customer's callers stay on few instances.
 func (n *Node) addressesAsked(q event.AddressesAsked) {
@@ -242,7 +253,7 @@
 		live = append(live, n.members.self)
 	}
 	for _, name := range n.members.peerNames() {
-		if p := n.members.peers[name]; n.live(p) {
+		if p := n.members.peers[name]; n.live(p) || n.mayServe(p) {
 			live = append(live, p.Instance)
 		}
 	}
@@ -259,7 +270,16 @@
 	for _, in := range live {
 		answer.Addresses = append(answer.Addresses, in.Address)
 	}
+	n.noteAddresses(answer.Addresses)
 	n.emit(event.Action{AnswerAddresses: answer})
 }
 
+// noteAddresses logs a change of the number of instances that callers are told.
+func (n *Node) noteAddresses(addresses []string) {
+	if len(addresses) != n.members.named {
+		n.members.named = len(addresses)
+		n.note("addresses changed", "named", len(addresses), "listed", n.fleetSize(), "since_peer_heard", n.now-n.members.lastHeard)
+	}
+}
+
 const defaultAddressTTL = 2 * time.Second
