--- a/fleet/cmd/plantainfieldd/hosted.go
+++ b/fleet/cmd/plantainfieldd/hosted.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,11 +10,8 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"plantainfield.example/core/event"
 	"plantainfield.example/fleet/daemon"
-	"plantainfield.example/fleet/gateway"
 	"plantainfield.example/fleet/logring"
-	"plantainfield.example/fleet/runtime"
 	"plantainfield.example/platform"
 )
 
@@ -43,7 +38,7 @@
 	log := newRingLogger()
 	defer func() { _ = log.Sync() }()
 	go reloadOnHangup(path, log)
-	app := daemon.NewHosted(newHost(s, log), log)
+	app := daemon.NewHosted(platform.NewHost(s, log), log)
 	if err := app.Err(); err != nil {
 		log.Error("start failed", zap.Error(err))
 		return 1
@@ -74,19 +69,3 @@
 	encoder.EncodeDuration = zapcore.StringDurationEncoder
 	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), logring.New(os.Stdout), zapcore.InfoLevel))
 }
-
-// newHost joins the platform's adapters.
-func newHost(s *platform.Settings, log *zap.Logger) *daemon.Host {
-	store := platform.NewStore(s.Platform.Address)
-	return &daemon.Host{
-		Settings: &s.Settings, Self: s.Self, Directory: s.Directory, Ready: s.Ready, Metrics: s.Metrics,
-		MemoryBytes: s.MemoryBytes, GracePeriod: s.GracePeriod, Retries: s.Retries, AddressTTL: s.AddressTTL,
-		EchoHeader: platform.HeaderAttempt, Protocol: platform.Messages{}, Platform: store,
-		Duties: func(loop *runtime.Loop, self event.Instance) []func(context.Context) {
-			w := platform.NewWatcher(store, loop, self, log)
-			return []func(context.Context){w.Configuration, w.Targets, w.Instances, w.Register}
-		},
-		DirectoryHandler: func(a *gateway.Addresses) http.Handler { return platform.DirectoryHandler(a) },
-		ReadyHandler:     platform.ReadinessHandler,
-	}
-}
