--- a/core/event/event.go
+++ b/core/event/event.go
@@ -41,11 +41,14 @@
 	ShutdownRequired *ShutdownRequired `json:"shutdownRequired,omitempty"`
 }
 
-// Tick lets timers run. Drivers send one at least every TickPeriod.
+// Tick lets timers run. Drivers send one at least every MaxTickPeriod.
 type Tick struct{}
 
-// TickPeriod is the longest time between two ticks.
-const TickPeriod = 10 * time.Millisecond
+const (
+	// TickPeriod is the usual time between two ticks, MaxTickPeriod the longest.
+	TickPeriod    = 10 * time.Millisecond
+	MaxTickPeriod = 50 * time.Millisecond
+)
 
 // RequestKind tells engines and plain services apart.
 type RequestKind string
@@ -73,6 +76,8 @@
 	Serves string `json:"serves"`
 	// Idempotent is false for a request that may run at most once.
 	Idempotent bool `json:"idempotent"`
+	// Resumable is set for a stream that another target can go on with.
+	Resumable bool `json:"resumable,omitempty"`
 	// WorstCaseTokens bounds what one attempt can consume, in tokens.
 	WorstCaseTokens int64 `json:"worstCaseTokens"`
 	// PrefixHashes identify growing prefixes of the prompt, shortest first.
@@ -135,6 +140,8 @@
 	BytesDelivered bool `json:"bytesDelivered"`
 	// Unsent is set where no byte of the attempt reached the target.
 	Unsent bool `json:"unsent,omitempty"`
+	// TargetError is set where the target itself answered with a failure.
+	TargetError bool `json:"targetError,omitempty"`
 	// TargetBusy is set where the target did not start the attempt because it
 	// is full.
 	TargetBusy bool `json:"targetBusy,omitempty"`
@@ -254,6 +261,9 @@
 	PeerAddress string        `json:"peerAddress,omitempty"`
 	Serves      []string      `json:"serves,omitempty"`
 	State       InstanceState `json:"state"`
+	// DatagramAddress is IP:port of a router's socket for messages that may be
+	// lost, or empty.
+	DatagramAddress string `json:"datagramAddress,omitempty"`
 	// Incarnation is the life of a router that wrote the entry, or empty.
 	Incarnation string `json:"incarnation,omitempty"`
 	// Born tells two lives of a target under one name apart; 0 if not known.
--- a/core/event/peer.go
+++ b/core/event/peer.go
@@ -14,6 +14,8 @@
 	To      string      `json:"to"`
 	Address string      `json:"address"`
 	Message PeerMessage `json:"message"`
+	// Datagram is set for a message that is sent often and may be lost.
+	Datagram bool `json:"datagram,omitempty"`
 }
 
 // PeerMessage is a tagged union: exactly one field is set.
--- a/core/node/loads.go
+++ b/core/node/loads.go
@@ -47,8 +47,8 @@
 	}
 	n.members.loadsEmpty = len(m.Targets) == 0
 	for _, name := range n.randomPeers(loadPeers) {
-		if p := n.members.peers[name]; n.live(p) {
-			n.send(name, event.PeerMessage{Loads: m})
+		if p := n.members.peers[name]; n.live(p) && p.DatagramAddress != "" {
+			n.emit(event.Action{SendPeer: &event.SendPeer{To: name, Address: p.DatagramAddress, Message: event.PeerMessage{Loads: m}, Datagram: true}})
 		}
 	}
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -83,6 +83,9 @@
 
 	requests requestTable
 	waiting  dispatchState
+	// serviceFailures is the usual share of failures by service.
+	serviceFailures map[string]float64
+
 	stopping bool
 	// refuseFrom is when new requests are refused, if the instance is stopping.
 	refuseFrom time.Duration
@@ -99,6 +102,8 @@
 		selector: routing.New(config.Defaults().Policies.Routing),
 		retries:  retry.NewBudget(),
 		requests: newRequestTable(),
+
+		serviceFailures: map[string]float64{},
 	}
 	n.waiting = dispatchState{lines: map[string]*line{}}
 	n.members = newMemberState()
@@ -114,8 +119,8 @@
 }
 
 // pauseGap is the time between two inputs from which on this process counts as
-// having been paused: ticks come every event.TickPeriod.
-const pauseGap = 100 * event.TickPeriod
+// having been paused: ticks come every event.MaxTickPeriod at least.
+const pauseGap = 20 * event.MaxTickPeriod
 
 // Step takes one input and returns the actions that it leads to.
 func (n *Node) Step(in event.Input) []event.Action {
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -42,6 +42,8 @@
 	at *target
 	// dispatched is when the current attempt began.
 	dispatched time.Duration
+	// firstSeen is set once the current attempt has sent a part of its answer.
+	firstSeen bool
 	// unread is the number of prompt tokens that the target has not yet read.
 	unread int64
 	// comeBack overrides the kind's time to come back after a refusal.
@@ -201,7 +203,7 @@
 	r.target, r.at = t.Name, t
 	r.phase = phaseRunning
 	n.requests.byAttempt[r.attempt] = r
-	r.dispatched = n.now
+	r.dispatched, r.firstSeen = n.now, false
 	t.inFlight++
 	t.limiter.Started(n.limits(), t.inFlight)
 	t.load.Started(t.inFlight)
@@ -215,7 +217,7 @@
 
 func (n *Node) firstToken(attempt string) {
 	if r := n.requests.byAttempt[attempt]; r != nil {
-		r.mayHaveRun = true
+		r.mayHaveRun, r.firstSeen = true, true
 		r.at.endRead(r)
 		n.sampleFirstToken(r)
 	}
@@ -267,7 +269,7 @@
 		if e.BytesDelivered {
 			r.lastFailure = errkind.StreamCut
 		}
-		n.retryOrRefuse(r, r.Idempotent && !e.BytesDelivered)
+		n.retryOrRefuse(r, r.Resumable || r.Idempotent && !e.BytesDelivered)
 	}
 }
 
@@ -286,6 +288,9 @@
 	}
 	n.book.Account(r.Budget).Settle(r.reserved, used)
 	r.reserved = 0
+	if r.Resumable { // what was read and delivered is not consumed again
+		r.WorstCaseTokens -= min(used, r.WorstCaseTokens)
+	}
 }
 
 // retryOrRefuse repeats the request at another target if that is allowed.
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -52,6 +52,7 @@
 	saysLeaving bool
 	// saidLiveAt is when the target last reported that it isn't leaving.
 	saidLiveAt time.Duration
+	health     targetHealth
 	// avoidUntil keeps new attempts away after a failure.
 	avoidUntil time.Duration
 }
@@ -122,12 +123,10 @@
 		n.targetLeaving(t)
 		return
 	}
-	switch {
-	case e.TargetBusy:
+	if e.TargetBusy {
 		t.avoidUntil = n.now + avoidWhenFull
-	case e.Outcome == event.AttemptNotStarted, e.Outcome == event.AttemptFailed, e.Outcome == event.AttemptCrashed:
-		t.avoidUntil = n.now + avoidAfterFailure
 	}
+	n.noteAttempt(r, e)
 }
 
 func (n *Node) targetReported(e event.TargetReported) {
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -18,6 +18,7 @@
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/node"
+	"plantainfield.example/fleet/datagram"
 	"plantainfield.example/fleet/gateway"
 	"plantainfield.example/fleet/peers"
 	"plantainfield.example/fleet/runtime"
@@ -69,7 +70,7 @@
 		}),
 		fx.StartTimeout(hostedStartTimeout),
 		fx.StopTimeout(h.GracePeriod),
-		fx.Provide(newIdentity, newHostedLoop, newUpstream, newGateway, newPeerServer, newPeerSender, gateway.NewAddresses),
+		fx.Provide(newIdentity, newHostedLoop, newUpstream, newGateway, newPeerServer, newPeerSender, newDatagrams, gateway.NewAddresses),
 		fx.Invoke(runHostedListeners, runHostedDuties),
 	)
 }
@@ -84,6 +85,7 @@
 		Without:  node.Duties{Bills: true, BegunRecords: true, ConfigurationStore: true, TargetReports: true, QuarantineClaims: true},
 		Policies: hostedPolicies(h),
 	})
+	loop.TickEvery(hostedTick)
 	loop.LogNotes(func(n event.Note) {
 		fields := make([]zap.Field, 0, len(n.Fields))
 		for _, f := range n.Fields {
@@ -94,6 +96,18 @@
 	return loop
 }
 
+// hostedTick is long enough that an idle instance costs little, and short
+// beside every delay that the core waits for.
+const hostedTick = 25 * time.Millisecond
+
+func newDatagrams(h *Host, id identity, loop *runtime.Loop, log *zap.Logger) (*datagram.Transport, error) {
+	t, err := datagram.Listen(h.Self.DatagramAddress, h.Settings.PeerKey, id.name, id.incarnation, loop, log)
+	if err == nil {
+		loop.SendDatagrams(t.Send)
+	}
+	return t, err
+}
+
 // hostedPolicies are the policies of a fleet whose operator states none.
 func hostedPolicies(h *Host) config.Policies {
 	p := config.Defaults().Policies
@@ -125,6 +139,7 @@
 	Gateway    *gateway.Server
 	Addresses  *gateway.Addresses
 	Sender     *peers.Sender
+	Datagrams  *datagram.Transport
 	Peers      *grpc.Server
 	Log        *zap.Logger
 }
@@ -137,6 +152,7 @@
 		OnStart: func(context.Context) error {
 			duties.Go(func() { p.Loop.Run(ctx) })
 			duties.Go(func() { p.Loop.ServePlatform(ctx, p.Host.Platform, p.Host.Settings.Platform.FleetCallsPerSecond) })
+			duties.Go(func() { p.Datagrams.Run(ctx) })
 			duties.Go(func() { p.Sender.Run(ctx, p.Loop.PeerMessages()) })
 			for _, duty := range p.Host.Duties(p.Loop, p.Host.Self) {
 				duties.Go(func() { duty(ctx) })
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -59,6 +59,8 @@
 	// last one.
 	firstAfter, longestPause time.Duration
 	last                     time.Time
+	// charged is the usage of the attempts before this one, in tokens.
+	charged int64
 }
 
 // notePart takes that a part of the stream has come.
@@ -104,7 +106,7 @@
 		head["User-Agent"] = []string{""} // keeps the library from adding its own
 	}
 	x.server.protocol.SetDelivery(head, Delivery{
-		Target: d.Target, Customer: x.owner.Customer, Left: time.Until(x.arrived.Add(x.wait())), LastEvent: x.call.LastEvent,
+		Target: d.Target, Customer: x.owner.Customer, Left: time.Until(x.arrived.Add(x.wait())), LastEvent: x.lastEvent(),
 	})
 	req := &http.Request{
 		Method: x.r.Method, Host: x.r.Host, Header: head, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -113,6 +115,14 @@
 	return req.WithContext(ctx)
 }
 
+// lastEvent is the id of the event after which the stream goes on.
+func (x *exchange) lastEvent() string {
+	if x.relay.events.last != "" {
+		return x.relay.events.last
+	}
+	return x.call.LastEvent
+}
+
 // failure classifies an attempt without an answer.
 func (x *exchange) failure(ctx context.Context, err error) event.AttemptOutcome {
 	switch {
@@ -144,15 +154,19 @@
 
 // relayAnswer relays the answer of a request that ran.
 func (x *exchange) relayAnswer(ctx context.Context, resp *http.Response, end *event.AttemptEnded) {
+	end.TargetError = resp.StatusCode >= http.StatusInternalServerError
 	if x.route.Repeatable() && resp.StatusCode >= http.StatusInternalServerError {
 		end.Outcome = event.AttemptFailed
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHeldAnswer))
 		return
 	}
 	var err error
-	if x.route.Kind == config.RouteStreaming && resp.StatusCode < http.StatusMultipleChoices {
+	switch success := resp.StatusCode < http.StatusMultipleChoices; {
+	case x.route.Kind == config.RouteStreaming && success:
 		err = x.relayStream(resp, end.Attempt)
-	} else {
+	case x.relay.begun: // a stream does not go on with this
+		err = errNotResumed
+	default:
 		err = x.relayWhole(resp)
 	}
 	switch {
@@ -166,6 +180,9 @@
 	}
 }
 
+// errNotResumed reports that a target did not go on with a stream.
+var errNotResumed = errors.New("the target did not go on with the stream")
+
 // relayWhole reads an answer whole and then sends it. A very long one is sent
 // as it comes.
 func (x *exchange) relayWhole(resp *http.Response) error {
@@ -190,10 +207,15 @@
 // relayStream sends the events of a stream as they come.
 func (x *exchange) relayStream(resp *http.Response, attempt string) error {
 	buffer := make([]byte, readSize)
-	for {
+	x.relay.events.tail = nil // of a target that broke off
+	for first := true; ; {
 		n, err := resp.Body.Read(buffer)
+		if n > 0 && first {
+			first = false
+			x.server.loop.Post(event.Event{FirstToken: &event.FirstToken{Attempt: attempt}})
+		}
 		if n > 0 {
-			if werr := x.relayPart(resp, attempt, buffer[:n]); werr != nil {
+			if werr := x.relayPart(resp, buffer[:n]); werr != nil {
 				return werr
 			}
 		}
@@ -207,15 +229,17 @@
 }
 
 // relayPart sends a part of a stream.
-func (x *exchange) relayPart(resp *http.Response, attempt string, part []byte) error {
+func (x *exchange) relayPart(resp *http.Response, part []byte) error {
 	if !x.relay.begun {
-		x.server.loop.Post(event.Event{FirstToken: &event.FirstToken{Attempt: attempt}})
 		x.server.metrics.first(x.route, x.arrived)
 		x.beginStream(resp)
 	}
 	x.relay.notePart(x.arrived)
-	x.relay.events.add(part)
-	if _, err := x.w.Write(part); err != nil {
+	whole := x.relay.events.add(part)
+	if len(whole) == 0 {
+		return nil
+	}
+	if _, err := x.w.Write(whole); err != nil {
 		return err
 	}
 	return http.NewResponseController(x.w).Flush()
@@ -232,11 +256,12 @@
 	if !x.relay.begun {
 		x.beginStream(resp)
 	}
-	return nil
+	_, err := x.w.Write(x.relay.events.tail)
+	return err
 }
 
 // usage is what the attempt consumed, in tokens: the prompt once it ran, and
-// the output that was delivered.
+// the output that was delivered. A stream that goes on consumes no prompt again.
 func (x *exchange) usage(end event.AttemptEnded) int64 {
 	if end.Outcome == event.AttemptNotStarted || end.Unsent {
 		return 0
@@ -245,5 +270,8 @@
 	if class := x.index.TargetClass(x.serves); class != nil && class.Engine != nil {
 		perEvent = class.Engine.TokensPerEvent
 	}
-	return x.call.PromptTokens + min(x.call.MaxOutputTokens, perEvent*int64(x.relay.events.count))
+	total := x.call.PromptTokens + min(x.call.MaxOutputTokens, perEvent*int64(x.relay.events.begun()))
+	used := max(0, total-x.relay.charged)
+	x.relay.charged += used
+	return used
 }
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -139,7 +139,7 @@
 	a := event.RequestArrived{
 		Request: handle, Customer: x.owner.Customer, Key: x.call.Attempt, BodyHash: x.bodyHash(),
 		Kind: event.KindService, Serves: x.serves,
-		Idempotent: x.route.Repeatable(), Priority: -int(x.route.Priority), Deadline: x.wait(),
+		Idempotent: x.route.Repeatable(), Resumable: x.route.Resumable, Priority: -int(x.route.Priority), Deadline: x.wait(),
 		MaxAttempts: int(x.route.MaxAttempts), HandedOver: true,
 	}
 	if x.owner.Priority != nil {
--- a/fleet/runtime/loop.go
+++ b/fleet/runtime/loop.go
@@ -49,6 +49,10 @@
 	// ended is closed once Run has returned.
 	ended    chan struct{}
 	counters Counters
+	// datagrams sends a message that may be lost; it must not block.
+	datagrams func(to string, m event.PeerMessage)
+	// tick is the time between two ticks.
+	tick time.Duration
 	// notes takes the core's notes for the log; it must not block.
 	notes func(event.Note)
 }
@@ -74,9 +78,19 @@
 		listChanged: make(chan struct{}, 1),
 		ended:       make(chan struct{}),
 		notes:       func(event.Note) {},
+		datagrams:   func(string, event.PeerMessage) {},
+		tick:        event.TickPeriod,
 	}
 }
 
+// SendDatagrams sends messages that may be lost with a function that never
+// blocks. It must be called before Run.
+func (l *Loop) SendDatagrams(with func(to string, m event.PeerMessage)) { l.datagrams = with }
+
+// TickEvery sets the time between two ticks, at most event.MaxTickPeriod. It
+// must be called before Run.
+func (l *Loop) TickEvery(d time.Duration) { l.tick = min(d, event.MaxTickPeriod) }
+
 // LogNotes sends the core's notes to a function that never blocks. It must be
 // called before Run.
 func (l *Loop) LogNotes(to func(event.Note)) { l.notes = to }
@@ -143,7 +157,7 @@
 // Run steps the node until ctx ends. It may be called once.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.ended)
-	ticker := time.NewTicker(event.TickPeriod)
+	ticker := time.NewTicker(l.tick)
 	defer ticker.Stop()
 	start := time.Now()
 	for {
@@ -188,6 +202,8 @@
 			l.counters.PlatformDrops.Add(1)
 			return &event.PlatformResult{Call: a.PlatformCall.Call, Status: event.PlatformUnavailable}
 		}
+	case a.SendPeer != nil && a.SendPeer.Datagram:
+		l.datagrams(a.SendPeer.Address, a.SendPeer.Message)
 	case a.SendPeer != nil:
 		select {
 		case l.peers <- *a.SendPeer:
