Size grants by a steady rate of spending

Cause: a few large requests moved a grant's size back and forth, since the rate was an average over about three seconds. Change: the mean of the first ten seconds, then an average over ten; returns from twice the wanted size on.

--- a/core/budget/account.go
+++ b/core/budget/account.go
@@ -40,6 +40,8 @@
 	// final is set once the final operation took effect.
 	final bool
 	rate  rate
+	// steady is the spending over a longer time.
+	steady steadyRate
 }
 
 // rate estimates spending in tokens per second as an exponential average.
@@ -68,6 +70,30 @@
 	return r.perSecond
 }
 
+// steadyRate estimates spending in tokens per second over about ten seconds: a
+// few large requests must not move a grant back and forth.
+type steadyRate struct {
+	perSecond float64
+	pending   int64
+	since     time.Duration
+	// windows counts those that ended: the first ones count alike.
+	windows int
+}
+
+// steadyShare is the weight of a window of one second.
+const steadyShare = 0.1
+
+func (r *steadyRate) at(now time.Duration) float64 {
+	if elapsed := now - r.since; elapsed >= rateWindow {
+		r.windows++
+		current := float64(r.pending) / elapsed.Seconds()
+		r.perSecond += max(steadyShare, 1/float64(r.windows)) * (current - r.perSecond)
+		r.pending = 0
+		r.since = now
+	}
+	return r.perSecond
+}
+
 // own is what is left of the part that the ledger records as this holder's.
 func (a *Account) own() int64 {
 	return a.granted + a.claimed - a.spent - a.reserved - a.returning - a.transfers.sentTotal
@@ -93,6 +119,7 @@
 	a.reserved -= n
 	a.spent += used
 	a.rate.add(used)
+	a.steady.pending += used
 }
 
 // Lack records that a request needs n tokens that the grant does not cover.
--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -23,7 +23,7 @@
 	// spreadLowPerMille and spreadHighPerMille are the same under "spread",
 	// which follows a budget that gets tight more closely.
 	spreadLowPerMille  = 700
-	spreadHighPerMille = 1500
+	spreadHighPerMille = 2000
 )
 
 // Sizing is what a grant's size is chosen from.
@@ -59,7 +59,7 @@
 		if s.Stopping {
 			return 0
 		}
-		runway := int64(a.rate.at(now) * float64(s.Policy.RunwaySeconds))
+		runway := int64(a.steady.at(now) * float64(s.Policy.RunwaySeconds))
 		return min(max(s.Policy.SizeTokens, runway), s.spreadable()/max(1, s.Instances))
 	default:
 		runway := int64(a.rate.at(now) * float64(s.Policy.RunwaySeconds))
