Weigh tokens that must be read double, and give each shared part a second home

Change: reading counts twice, a second home by the same hash; few targets are all compared. Callers are sent elsewhere at once only if most others probably hold tokens by a ledger of at most 3 s ago.

--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -85,6 +85,36 @@
 // some.
 const elsewhereRetryAfter = 200 * time.Millisecond
 
+const (
+	// holdingsAge is the age of the last known ledger up to which what others
+	// held then is probably still unspent: a fraction of a grant's runway.
+	holdingsAge = 3 * time.Second
+	// holdingsRatio is what another holder must have had, in requests of this
+	// size, to serve it probably.
+	holdingsRatio = 2
+)
+
+// othersHold tells whether most other holders probably have tokens for the
+// request.
+func (n *Node) othersHold(r *request) bool {
+	s := n.ledgers.shardOf(r.Budget)
+	b := s.shard.Budgets[r.Budget]
+	if b == nil || n.now-s.seenAt > holdingsAge {
+		return false
+	}
+	able, others := 0, 0
+	for h, g := range b.Grants {
+		if h == n.holder || g.Closed {
+			continue
+		}
+		others++
+		if g.Granted-g.Spent >= holdingsRatio*r.WorstCaseTokens {
+			able++
+		}
+	}
+	return 2*able > others
+}
+
 // budgetCovers tells whether a request that is refused for want of tokens may
 // be served once others have returned what they hold.
 func (n *Node) budgetCovers(r *request, kind errkind.Kind) bool {
@@ -103,7 +133,7 @@
 	if n.budgetCovers(r, kind) {
 		return busyRetryAfter
 	}
-	if kind == errkind.BudgetUnavailable && r.HandedOver {
+	if kind == errkind.BudgetUnavailable && r.HandedOver && n.othersHold(r) {
 		return elsewhereRetryAfter
 	}
 	return time.Duration(errkind.Lookup(kind).RetryAfterSeconds) * time.Second
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -21,6 +21,10 @@
 	// the time that its share of a step takes, at the speed at which an engine
 	// reads a prompt.
 	runningTokens = 300
+	// readWeight is the weight of a token that must be read against one that
+	// waits before it: reading it delays this request and, at an engine that is
+	// busy half of the time, about as much work that comes behind it.
+	readWeight = 2
 	// sampled is the number of targets, drawn at random, that are compared beside
 	// the one that keeps the prompt's shared parts. Comparing all of them would
 	// send the requests of all instances to the same target until the next report.
@@ -88,45 +92,69 @@
 // Choose returns the index of the best of the candidates, of which there is at
 // least one.
 func Choose(cs []Candidate, r Request, rng *rand.Rand) int {
-	home := r.home(cs)
-	best := home
+	h := r.homes(cs)
+	best := h.first
 	if best < 0 {
 		best = rng.IntN(len(cs))
 	}
-	for range min(sampled, len(cs)-1) {
-		i := rng.IntN(len(cs))
-		if r.cost(cs, i, home) < r.cost(cs, best, home) {
+	consider := func(i int) {
+		if i >= 0 && r.cost(cs, i, h) < r.cost(cs, best, h) {
 			best = i
 		}
 	}
+	consider(h.second)
+	if len(cs) <= sampled {
+		for i := range cs {
+			consider(i)
+		}
+		return best
+	}
+	for range sampled {
+		consider(rng.IntN(len(cs)))
+	}
 	return best
 }
 
-// home is the target that keeps the last shared part, by rendezvous hashing: all
-// instances agree on it without a message. It is -1 if the prompt shares nothing.
-func (r Request) home(cs []Candidate) int {
+// homes are the targets that keep the last shared part, by rendezvous hashing:
+// all instances agree on them without a message. The second takes what the first
+// has no room for. They are -1 if there is none.
+type homes struct{ first, second int }
+
+func (r Request) homes(cs []Candidate) homes {
+	h := homes{-1, -1}
 	if r.shared() == 0 {
-		return -1
+		return h
 	}
 	key := r.Parts[len(r.Parts)-2].ID
-	best, most := 0, uint64(0)
+	var most, next uint64
 	for i, c := range cs {
-		if s := score(key, c.Name); i == 0 || s > most {
-			best, most = i, s
+		switch s := score(key, c.Name); {
+		case h.first < 0 || s > most:
+			h.second, next = h.first, most
+			h.first, most = i, s
+		case h.second < 0 || s > next:
+			h.second, next = i, s
 		}
 	}
-	return best
+	return h
+}
+
+// kept is how much of the prompt a candidate probably keeps, in tokens.
+func (r Request) kept(cs []Candidate, i int, h homes) int64 {
+	switch i {
+	case h.first:
+		return max(cs[i].Kept, r.shared())
+	case h.second:
+		return max(cs[i].Kept, r.shared()/2)
+	}
+	return cs[i].Kept
 }
 
 // cost is the work before the request's first token and the harm to others, in
 // prompt tokens.
-func (r Request) cost(cs []Candidate, i, home int) int64 {
+func (r Request) cost(cs []Candidate, i int, h homes) int64 {
 	c := cs[i]
-	kept := c.Kept
-	if i == home {
-		kept = max(kept, r.shared())
-	}
-	cost := c.Work.Tokens() + r.total() - kept
+	cost := c.Work.Tokens() + readWeight*(r.total()-r.kept(cs, i, h))
 	if !c.Near {
 		cost += farTokens
 	}
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,125 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+func candidates(count int) []Candidate {
+	var cs []Candidate
+	for i := range count {
+		cs = append(cs, Candidate{Name: fmt.Sprintf("t%02d", i)})
+	}
+	return cs
+}
+
+func prompt(shared uint64, tokens int64) Request {
+	return Request{Parts: []Part{{ID: 1, Tokens: 500}, {ID: shared, Tokens: tokens}, {ID: shared + 1_000_000, Tokens: 600}}}
+}
+
+func TestChoose(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	Convey("Requests with the same shared part go to the same target while it has no more to do", t, func() {
+		cs := candidates(18)
+		first := Choose(cs, prompt(7, 5000), rng)
+		for range 100 {
+			So(Choose(cs, prompt(7, 5000), rng), ShouldEqual, first)
+		}
+	})
+	Convey("a target with much unread work is passed over, for the second home", t, func() {
+		cs := candidates(18)
+		first := Choose(cs, prompt(7, 5000), rng)
+		cs[first].Work.Unread = 50_000
+		second := Choose(cs, prompt(7, 5000), rng)
+		So(second, ShouldNotEqual, first)
+		for range 100 {
+			So(Choose(cs, prompt(7, 5000), rng), ShouldEqual, second)
+		}
+	})
+	Convey("a prompt that shares nothing goes where there is less to do", t, func() {
+		cs := candidates(2)
+		cs[0].Work.Unread = 1000
+		chosen := 0
+		for range 100 {
+			chosen += Choose(cs, Request{Parts: []Part{{ID: 9, Tokens: 100}}}, rng)
+		}
+		So(chosen, ShouldBeGreaterThan, 90)
+	})
+	Convey("a request without a prompt is placed too", t, func() {
+		So(Choose(candidates(1), Request{}, rng), ShouldEqual, 0)
+	})
+}
+
+// load plays requests that arrive at several instances with reports of each
+// other that are one round old, and returns the tokens read again and the most
+// that one target got, in per cent of the mean.
+func load(choose func(cs []Candidate, r Request, rng *rand.Rand) int) (again, most int64) {
+	const targets, rounds, perRound = 18, 60, 16
+	rng := rand.New(rand.NewPCG(3, 4))
+	kept := map[string]bool{}
+	work := make([]int64, targets)
+	total := make([]int64, targets)
+	var sum int64
+	for range rounds {
+		seen := candidates(targets)
+		for i := range seen {
+			work[i] = max(0, work[i]-3*perRound*300) // what a target reads between two reports
+			seen[i].Work.Unread = work[i]
+		}
+		for range perRound {
+			r := prompt(uint64(rng.IntN(167))+2, 4900)
+			i := choose(seen, r, rng)
+			key := fmt.Sprint(i, r.Parts[1].ID)
+			read := r.total()
+			if kept[key] {
+				read -= r.shared()
+			} else {
+				again += r.shared()
+			}
+			kept[key] = true
+			work[i] += read
+			total[i] += read
+			sum += read
+		}
+	}
+	for _, n := range total {
+		most = max(most, n*100*targets/sum)
+	}
+	return again, most
+}
+
+// TestLoadOfLongSharedParts plays the load that the package answers against
+// placement by chance: fewer shared tokens are read, and no target gets far
+// more than its part.
+func TestLoadOfLongSharedParts(t *testing.T) {
+	byChance := func(cs []Candidate, _ Request, rng *rand.Rand) int { return rng.IntN(len(cs)) }
+	againChance, mostChance := load(byChance)
+	again, most := load(Choose)
+	t.Logf("shared tokens read: %d by chance, %d chosen; busiest target: %d and %d per cent of the mean", againChance, again, mostChance, most)
+	if 2*again > againChance {
+		t.Errorf("%d shared tokens read, more than half of %d", again, againChance)
+	}
+	if most > 200 {
+		t.Errorf("the busiest target got %d per cent of the mean", most)
+	}
+}
+
+func TestChooseIsInRange(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cs := candidates(rapid.IntRange(1, 30).Draw(rt, "targets"))
+		for i := range cs {
+			cs[i].Work = Work{Unread: rapid.Int64Range(0, 1<<20).Draw(rt, "unread"), Running: rapid.IntRange(0, 99).Draw(rt, "running")}
+		}
+		var r Request
+		for i := range rapid.IntRange(0, 4).Draw(rt, "parts") {
+			r.Parts = append(r.Parts, Part{ID: uint64(i), Tokens: rapid.Int64Range(0, 9999).Draw(rt, "tokens")})
+		}
+		if i := Choose(cs, r, rand.New(rand.NewPCG(1, rapid.Uint64().Draw(rt, "seed")))); i < 0 || i >= len(cs) {
+			rt.Fatalf("chose %d of %d", i, len(cs))
+		}
+	})
+}
