--- a/core/config/document.go
+++ b/core/config/document.go
@@ -113,6 +113,9 @@
 	// MaxSharePerMille is the largest part of what a budget has left that one grant
 	// takes, in per mille; under "spread", the part that all grants together take.
 	MaxSharePerMille int64 `json:"maxSharePerMille" min:"1" max:"1000"`
+	// MaxWaitMillis bounds how long a request waits for tokens, in milliseconds;
+	// 0 for no bound beside those of each step.
+	MaxWaitMillis int64 `json:"maxWaitMillis,omitempty" min:"0" max:"60000"`
 	// RefillMillis is the least time between two ledger updates of an instance
 	// that no request waits for, in milliseconds.
 	RefillMillis int64 `json:"refillMillis,omitempty" min:"0" max:"60000"`
--- a/core/config/routes.go
+++ b/core/config/routes.go
@@ -78,10 +78,6 @@
 
 // EngineClass describes the engines of one service.
 type EngineClass struct {
-	// Slots is the number of requests that an engine runs at a time.
-	Slots int64 `json:"slots" min:"1" max:"100000"`
-	// CacheTokens is an engine's memory for running requests and cached parts.
-	CacheTokens int64 `json:"cacheTokens" min:"0" max:"1125899906842624"`
 	// TokensPerEvent is the most tokens in one event of a stream.
 	TokensPerEvent int64 `json:"tokensPerEvent" min:"1" max:"100000"`
 }
@@ -98,9 +94,6 @@
 // Timeout bounds the time from a request to its whole answer.
 func (r *Route) Timeout() time.Duration { return time.Duration(r.TimeoutMillis) * time.Millisecond }
 
-// Aim is the goal for the answer, or for the first event of a stream.
-func (r *Route) Aim() time.Duration { return time.Duration(r.AimMillis) * time.Millisecond }
-
 // Repeatable tells whether a request that may have run may be sent again whole.
 func (r *Route) Repeatable() bool { return r.Kind == RouteIdempotent }
 
--- a/core/node/dispatch.go
+++ b/core/node/dispatch.go
@@ -109,7 +109,7 @@
 	sum := 0
 	for _, t := range n.members.targets {
 		if t.serves(serves) && t.usable(n.now) {
-			sum += t.limiter.Limit(n.limits())
+			sum += n.limitOf(t)
 		}
 	}
 	return sum
--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -9,6 +9,8 @@
 
 // budgetWait is how far a request came in its search for tokens.
 type budgetWait struct {
+	// since is when the request began to wait.
+	since time.Duration
 	// lackAsked is set once a ledger operation asked for the tokens.
 	lackAsked bool
 	// refusal is the answer if peers can't help; None until they are asked.
--- /dev/null
+++ b/core/node/hosted_test.go
@@ -0,0 +1,215 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"plantainfield.example/core/config"
+	"plantainfield.example/core/errkind"
+	"plantainfield.example/core/event"
+)
+
+// hosted is one node on a platform that holds the configuration.
+type hosted struct {
+	node *Node
+	now  time.Duration
+	// calls are the platform calls that nobody has answered.
+	calls []event.PlatformCall
+}
+
+func newHosted() *hosted {
+	p := config.Defaults().Policies
+	p.Grants = config.GrantPolicy{Policy: config.GrantSpread, SizeTokens: 1000, RunwaySeconds: 10, MaxSharePerMille: 500, PeerTransfer: true, RefillMillis: 1000, MaxWaitMillis: 400}
+	p.Routing.Policy = config.RouteLeastWork
+	p.Limits.Policy = config.LimitFixed
+	h := &hosted{node: New(Settings{
+		Name: "n1", Incarnation: "1", DataCentre: "a", LedgerShards: 1, Policies: p,
+		Self:    event.Instance{Name: "n1", Role: event.RoleRouter, Address: "10.0.0.1:1", PeerAddress: "10.0.0.1:2"},
+		Without: Duties{Bills: true, BegunRecords: true, ConfigurationStore: true, TargetReports: true, QuarantineClaims: true},
+	})}
+	h.configure(1, 100_000)
+	return h
+}
+
+func (h *hosted) step(e event.Event) []event.Action {
+	actions := h.node.Step(event.Input{Now: h.now, Seed: 1, Event: e})
+	for _, a := range actions {
+		if a.PlatformCall != nil {
+			h.calls = append(h.calls, *a.PlatformCall)
+		}
+	}
+	return actions
+}
+
+func (h *hosted) configure(generation uint64, prepaid int64) {
+	h.step(event.Event{ConfigRead: &event.ConfigRead{Stored: &config.Stored{
+		Generation: generation, Routing: &config.Routing{Targets: []config.TargetClass{{Service: "app", MaxConnections: 40}}},
+		Document: config.Document{Budgets: []config.Budget{{Name: "b", Customer: "c", PrepaidTokens: prepaid}}},
+	}}})
+}
+
+// after lets time pass with a tick each 25 ms and returns all actions.
+func (h *hosted) after(d time.Duration) []event.Action {
+	var all []event.Action
+	for end := h.now + d; h.now < end; {
+		h.now += 25 * time.Millisecond
+		all = append(all, h.step(event.Event{Tick: &event.Tick{}})...)
+	}
+	return all
+}
+
+func (h *hosted) list(regained bool, entries ...event.Instance) {
+	h.step(event.Event{InstancesListed: &event.InstancesListed{Instances: entries, Regained: regained}})
+}
+
+func targetEntry(name string) event.Instance {
+	return event.Instance{Name: name, Role: event.RoleEngine, Address: name + ":1", Serves: []string{"app"}, State: event.StateLive}
+}
+
+// arrive sends a request and returns the actions.
+func (h *hosted) arrive(handle uint64, tokens int64) []event.Action {
+	r := &event.RequestArrived{
+		Request: handle, Customer: "c", Key: string(rune('a' + handle)), BodyHash: string(rune('a' + handle)),
+		Serves: "app", MaxAttempts: 1, HandedOver: true, Deadline: 10 * time.Second,
+	}
+	if tokens > 0 {
+		r.Budget, r.WorstCaseTokens = "b", tokens
+	}
+	return h.step(event.Event{RequestArrived: r})
+}
+
+func dispatched(actions []event.Action) *event.Dispatch {
+	for _, a := range actions {
+		if a.Dispatch != nil {
+			return a.Dispatch
+		}
+	}
+	return nil
+}
+
+func refusal(actions []event.Action) *event.Refuse {
+	for _, a := range actions {
+		if a.Refuse != nil {
+			return a.Refuse
+		}
+	}
+	return nil
+}
+
+func TestWaitForTokensIsBounded(t *testing.T) {
+	Convey("Given a platform that answers nothing", t, func() {
+		h := newHosted()
+		h.list(false, targetEntry("t1"))
+		So(refusal(h.arrive(1, 500)), ShouldBeNil)
+		Convey("a request that waits for tokens is refused, as not run, after the policy's time", func() {
+			So(refusal(h.after(350*time.Millisecond)), ShouldBeNil)
+			got := refusal(h.after(100 * time.Millisecond))
+			So(got, ShouldNotBeNil)
+			So(got.Kind, ShouldEqual, errkind.BudgetUnavailable)
+			So(got.Ran, ShouldEqual, errkind.RanNo)
+			So(got.RetryAfter, ShouldBeGreaterThan, 0)
+		})
+	})
+}
+
+func TestTargetsThatFailAreAvoided(t *testing.T) {
+	// end ends an attempt and returns the target that the next request gets.
+	end := func(h *hosted, handle uint64, d *event.Dispatch, e event.AttemptEnded) *event.Dispatch {
+		e.Attempt, e.UsageKnown = d.Attempt, true
+		h.step(event.Event{AttemptEnded: &e})
+		return dispatched(h.arrive(handle, 0))
+	}
+	Convey("Given two targets", t, func() {
+		h := newHosted()
+		h.list(false, targetEntry("t1"), targetEntry("t2"))
+		d := dispatched(h.arrive(1, 0))
+		Convey("one that lost an attempt is avoided, and longer after the next loss", func() {
+			bad := d.Target
+			So(end(h, 2, d, event.AttemptEnded{Outcome: event.AttemptCrashed}).Target, ShouldNotEqual, bad)
+			t1 := h.node.members.targets[bad]
+			So(t1.avoidUntil-h.now, ShouldEqual, avoidAfterFailure)
+			h.after(avoidAfterFailure)
+			for handle := uint64(3); ; handle++ {
+				next := dispatched(h.arrive(handle, 0))
+				if next.Target == bad {
+					end(h, handle+100, next, event.AttemptEnded{Outcome: event.AttemptCrashed})
+					break
+				}
+			}
+			So(t1.avoidUntil-h.now, ShouldEqual, 2*avoidAfterFailure)
+		})
+		Convey("one that answers with errors no more often than its service is not avoided", func() {
+			for handle := uint64(2); handle < 40; handle++ {
+				e := event.AttemptEnded{Outcome: event.AttemptCompleted, TargetError: handle%8 == 0}
+				d = end(h, handle, d, e)
+			}
+			for _, target := range h.node.members.targets {
+				So(target.avoidUntil, ShouldBeLessThanOrEqualTo, h.now)
+			}
+		})
+		Convey("one that answers with errors far more often is", func() {
+			bad := d.Target
+			for handle := uint64(2); handle < 60; handle++ {
+				d = end(h, handle, d, event.AttemptEnded{Outcome: event.AttemptCompleted, TargetError: d.Target == bad})
+			}
+			So(h.node.members.targets[bad].avoidUntil, ShouldBeGreaterThan, h.now)
+		})
+	})
+}
+
+func TestEntriesThatLapsedMayComeBack(t *testing.T) {
+	Convey("A target that is missing when the platform is back is kept for two seconds", t, func() {
+		h := newHosted()
+		h.list(false, targetEntry("t1"))
+		h.after(5 * time.Second)
+		h.list(true)
+		So(dispatched(h.arrive(1, 0)), ShouldNotBeNil)
+		h.after(relistWait)
+		So(dispatched(h.arrive(2, 0)), ShouldBeNil)
+	})
+	Convey("otherwise one that is missing gets no work at once", t, func() {
+		h := newHosted()
+		h.list(false, targetEntry("t1"))
+		h.after(5 * time.Second)
+		h.list(false)
+		So(dispatched(h.arrive(1, 0)), ShouldBeNil)
+	})
+}
+
+func TestAnInstanceWithoutPeersNamesAll(t *testing.T) {
+	Convey("An instance that hears no peer names all listed ones that are not leaving", t, func() {
+		h := newHosted()
+		peer := func(name string, state event.InstanceState) event.Instance {
+			return event.Instance{Name: name, Role: event.RoleRouter, Address: name + ":1", PeerAddress: name + ":2", State: state}
+		}
+		h.list(false, peer("n2", event.StateLive), peer("n3", event.StateLive), peer("n4", event.StateLeaving))
+		h.after(20 * time.Second)
+		var got []string
+		for _, a := range h.step(event.Event{AddressesAsked: &event.AddressesAsked{Query: 1}}) {
+			if a.AnswerAddresses != nil {
+				got = a.AnswerAddresses.Addresses
+			}
+		}
+		So(len(got), ShouldEqual, 3)
+	})
+}
+
+func TestConnectionsToATargetAreSharedOut(t *testing.T) {
+	Convey("All instances together open no more connections to a target than it takes", t, func() {
+		h := newHosted()
+		entries := []event.Instance{targetEntry("t1")}
+		for _, name := range []string{"n2", "n3", "n4"} {
+			entries = append(entries, event.Instance{Name: name, Role: event.RoleRouter, Address: name + ":1", PeerAddress: name + ":2", State: event.StateLive})
+		}
+		h.list(false, entries...)
+		sent := 0
+		for handle := range uint64(20) {
+			if dispatched(h.arrive(handle+1, 0)) != nil {
+				sent++
+			}
+		}
+		So(sent, ShouldEqual, 10)
+	})
+}
--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -82,7 +82,7 @@
 			t.leave(f.confirmed)
 		}
 	}
-	t.Instance = in
+	t.Instance, t.missing = in, false
 	if in.State == event.StateLeaving {
 		t.delisted = true
 		n.targetLeaving(t)
@@ -96,8 +96,10 @@
 // kept for a while, because an older list may still arrive.
 func (n *Node) targetVanished(t *target) {
 	if n.members.regainedAt > 0 && n.now-n.members.regainedAt < relistWait {
-		return // tickMembers looks again
+		t.missing = true
+		return
 	}
+	t.missing = false
 	if !t.delisted {
 		t.delisted = true
 		n.targetLeaving(t)
@@ -112,5 +114,18 @@
 // is back in reach: the platform lets entries lapse that it can't renew.
 const relistWait = 2 * time.Second
 
+// tickRelisted takes targets for gone that were not listed again in time.
+func (n *Node) tickRelisted() {
+	if n.members.regainedAt == 0 || n.now-n.members.regainedAt < relistWait {
+		return
+	}
+	n.members.regainedAt = 0
+	for _, name := range n.members.targetNames() {
+		if t := n.members.targets[name]; t.missing {
+			n.targetVanished(t)
+		}
+	}
+}
+
 // tombstoneTimeout is how long a target is kept after it vanished.
 const tombstoneTimeout = 30 * time.Second
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -179,6 +179,7 @@
 func (n *Node) tick() {
 	n.tickConfig()
 	n.tickMembers()
+	n.tickRelisted()
 	n.tickLoads()
 	n.tickRequests()
 	n.tickBegun()
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -175,7 +175,7 @@
 		return
 	}
 	r.phase = phaseGrant
-	r.budgetWait = budgetWait{}
+	r.budgetWait = budgetWait{since: n.now}
 	s := n.ledgers.shardOf(r.Budget)
 	if s.flying && s.failures > 0 { // the platform has just failed to answer
 		n.askPeers(r, errkind.BudgetUnavailable)
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -44,6 +44,9 @@
 	// delisted is set while the list calls the target leaving, or leaves it out.
 	delisted   bool
 	vanishedAt time.Duration
+	// missing is set while the target is not listed after the platform came back
+	// into reach, and may be listed again.
+	missing bool
 	// relisted is set if the list took the target up again afterwards.
 	relisted bool
 	// unreachable is set from a report that failed to the next one.
@@ -100,7 +103,7 @@
 		if !t.serves(r.Serves) || !allowed(t) || slices.Contains(r.failedTargets, name) {
 			continue
 		}
-		if t.inFlight >= t.limiter.Limit(n.limits()) || !n.known(t) {
+		if t.inFlight >= n.limitOf(t) || !n.known(t) {
 			full = true
 			continue
 		}
@@ -114,6 +117,18 @@
 	return n.settings.Without.TargetReports || t.fresh(n.now, n.resumedAt)
 }
 
+// limitOf is the number of attempts that may be in flight at a target: its
+// limiter's, and this instance's part of the connections that it takes.
+func (n *Node) limitOf(t *target) int {
+	limit := t.limiter.Limit(n.limits())
+	for _, service := range t.Serves {
+		if class := n.configs.index.TargetClass(service); class != nil && class.MaxConnections > 0 {
+			limit = min(limit, int(max(1, class.MaxConnections/n.fleetSize())))
+		}
+	}
+	return limit
+}
+
 // releaseTarget ends an attempt's use of its target.
 func (n *Node) releaseTarget(r *request, e event.AttemptEnded) {
 	t := r.at
--- a/core/node/transfers.go
+++ b/core/node/transfers.go
@@ -262,6 +262,19 @@
 	}
 }
 
+// waitedTooLong tells whether a request has waited for tokens for as long as the
+// policy allows. Its refusal is then what is known of the budget.
+func (n *Node) waitedTooLong(r *request) bool {
+	most := time.Duration(n.configs.index.Document.Policies.Grants.MaxWaitMillis) * time.Millisecond
+	if most == 0 || n.now-r.since < most {
+		return false
+	}
+	if r.refusal == errkind.None {
+		r.refusal = errkind.BudgetUnavailable
+	}
+	return true
+}
+
 // tickTransfers ends waits that are over and starts rounds that are due.
 func (n *Node) tickTransfers() {
 	for _, name := range sortedKeys(n.transfers.rounds) {
@@ -270,6 +283,10 @@
 		}
 	}
 	for _, r := range n.requests.inPhase(phaseGrant) {
+		if n.waitedTooLong(r) {
+			n.handOverOrRefuse(r, n.transfers.rounds[r.Budget])
+			continue
+		}
 		if r.refusal == errkind.None {
 			continue
 		}
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -111,7 +111,7 @@
 // hostedPolicies are the policies of a fleet whose operator states none.
 func hostedPolicies(h *Host) config.Policies {
 	p := config.Defaults().Policies
-	p.Grants = config.GrantPolicy{Policy: config.GrantSpread, SizeTokens: 20_000, RunwaySeconds: 16, MaxSharePerMille: 500, PeerTransfer: true, RefillMillis: 1500}
+	p.Grants = config.GrantPolicy{Policy: config.GrantSpread, SizeTokens: 20_000, RunwaySeconds: 16, MaxSharePerMille: 500, PeerTransfer: true, RefillMillis: 1500, MaxWaitMillis: 400}
 	p.Routing.Policy = config.RouteLeastWork
 	p.Retries = h.Retries
 	p.Retries.MaxAttempts = 2
--- a/fleet/upstream/exchange.go
+++ b/fleet/upstream/exchange.go
@@ -135,7 +135,7 @@
 
 // skip reads the body of an answer to another request.
 func skip(resp *http.Response) error {
-	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if endsWithConnection(resp) {
 		return errors.New("it ends with its connection")
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBytes))
--- a/fleet/upstream/upstream.go
+++ b/fleet/upstream/upstream.go
@@ -93,11 +93,14 @@
 		}
 		return nil, err
 	}
-	resp.Body = &answerBody{ReadCloser: resp.Body, exchange: x, reusable: !resp.Close && resp.ContentLength != -1 || isChunked(resp)}
+	resp.Body = &answerBody{ReadCloser: resp.Body, exchange: x, reusable: !endsWithConnection(resp)}
 	return resp, nil
 }
 
-func isChunked(r *http.Response) bool { return len(r.TransferEncoding) > 0 && !r.Close }
+// endsWithConnection tells whether an answer's end is the end of its connection.
+func endsWithConnection(r *http.Response) bool {
+	return r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
 
 // connection returns an unused connection that is sound, or a new one.
 func (c *Client) connection(ctx context.Context, address string) (*conn, error) {
@@ -142,18 +145,3 @@
 	}
 	c.idle[k.address] = append(c.idle[k.address], k)
 }
-
-// Forget closes the unused connections to addresses that are not in use.
-func (c *Client) Forget(inUse map[string]bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, kept := range c.idle {
-		if inUse[address] {
-			continue
-		}
-		for _, k := range kept {
-			_ = k.Close()
-		}
-		delete(c.idle, address)
-	}
-}
