--- /dev/null
+++ b/fleet/cmd/plantainfieldd/hosted_test.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+// TestHangupDoesNotEndTheProcess sends SIGHUP to the test's own process.
+func TestHangupDoesNotEndTheProcess(t *testing.T) {
+	Convey("SIGHUP reads the settings again, and bad ones change nothing", t, func() {
+		path := filepath.Join(t.TempDir(), "settings.yaml")
+		So(os.WriteFile(path, []byte("node_name: ["), 0o600), ShouldBeNil)
+		core, logs := observer.New(zap.InfoLevel)
+		guard := make(chan os.Signal, 1) // until the handler is set, the signal would end the test
+		signal.Notify(guard, syscall.SIGHUP)
+		defer signal.Stop(guard)
+		go reloadOnHangup(path, zap.New(core))
+		deadline := time.Now().Add(20 * time.Second)
+		for logs.FilterMessage("settings not reloaded").Len() == 0 && time.Now().Before(deadline) {
+			So(syscall.Kill(os.Getpid(), syscall.SIGHUP), ShouldBeNil)
+			time.Sleep(5 * time.Millisecond)
+		}
+		So(logs.FilterMessage("settings not reloaded").Len(), ShouldBeGreaterThan, 0)
+	})
+}
