--- a/core/budget/policy_test.go
+++ b/core/budget/policy_test.go
@@ -20,8 +20,10 @@
 func fresh(policy config.GrantPolicy) (*ledger.Budget, func(*Account, time.Duration) bool) {
 	b := &ledger.Budget{Prepaid: totals, Target: totals, Grants: map[ledger.Holder]*ledger.Grant{}}
 	return b, func(a *Account, now time.Duration) bool {
-		s := Sizing{Policy: policy, Prepaid: b.Prepaid, LedgerAvailable: b.Available(), Instances: 4, Excess: b.Committed() - b.Target,
-			Unspent: max(0, b.Target-b.SettledTotal()), Outstanding: b.Outstanding()}
+		s := Sizing{
+			Policy: policy, Prepaid: b.Prepaid, LedgerAvailable: b.Available(), Instances: 4, Excess: b.Committed() - b.Target,
+			Unspent: max(0, b.Target-b.SettledTotal()), Outstanding: b.Outstanding(),
+		}
 		op := a.Prepare(now, self, s, false)
 		if op == nil {
 			return false
