--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -108,21 +108,6 @@
 	return t, err
 }
 
-// hostedPolicies are the policies of a fleet whose operator states none.
-func hostedPolicies(h *Host) config.Policies {
-	p := config.Defaults().Policies
-	p.Grants = config.GrantPolicy{Policy: config.GrantSpread, SizeTokens: 20_000, RunwaySeconds: 16, MaxSharePerMille: 500, PeerTransfer: true, RefillMillis: 1500, MaxWaitMillis: 400}
-	p.Routing.Policy = config.RouteLeastWork
-	p.Retries = h.Retries
-	p.Retries.MaxAttempts = 2
-	p.Retries.BaseDelayMillis = 10
-	p.Limits.Policy = config.LimitFixed
-	p.Addresses = config.AddressPolicy{TTLSeconds: int64(h.AddressTTL / time.Second)}
-	p.Quarantine.MaxTargets = 3
-	p.Billing.WhenIsolated = config.IsolatedServe
-	return p
-}
-
 func newUpstream(h *Host) *upstream.Client { return upstream.NewClient(h.EchoHeader) }
 
 func newGateway(h *Host, loop *runtime.Loop, targets *upstream.Client, log *zap.Logger) *gateway.Server {
