Refuse from a fresh view of the ledger instead of writing to it

Cause: each request without tokens made an update of the ledger, also where the view of it, milliseconds old, had none left; updates of the platform are priced and those of nine instances meet in conflicts. Change: under the policy spread nothing is asked of a budget without tokens left; a view older than 300 ms is read again first. A resumed flight gets a new round of repeats at once. Ruled out: the same under the adaptive policy: its property (the budget is spent to the last request) failed, so it keeps its way.

--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -126,6 +126,9 @@
 // lacking is what to ask for when requests wait, and the least that is of use.
 func (a *Account) lacking(wanted int64, s Sizing) (want, minimum int64) {
 	available := a.Available()
+	if s.LedgerAvailable <= 0 && s.Policy.Policy == config.GrantSpread {
+		return 0, 0
+	}
 	want = max(a.shortfall, wanted-available)
 	if s.Policy.Policy == config.GrantStatic {
 		want = wanted - available
--- a/core/node/budget_days_test.go
+++ b/core/node/budget_days_test.go
@@ -65,8 +65,10 @@
 	policy  config.GrantPolicy
 	store   event.Object
 	version int
-	writes  int
-	nodes   []*dayNode
+	// writes and reads count the calls that reached the platform.
+	writes int
+	reads  int
+	nodes  []*dayNode
 	// cut names the instances that reach neither the platform nor peers.
 	cut        map[string]bool
 	generation uint64
@@ -259,9 +261,11 @@
 	switch {
 	case call.Object.Kind != event.KindLedger:
 		r.Status = event.PlatformNotFound
-	case call.Op == event.OpGet && d.version == 0:
-		r.Status = event.PlatformNotFound
 	case call.Op == event.OpGet:
+		d.reads++
+		if d.version == 0 {
+			r.Status = event.PlatformNotFound
+		}
 	case call.Object.Version != d.store.Version:
 		d.writes++
 		r.Status = event.PlatformConflict
@@ -365,10 +369,11 @@
 	// Refused counts the owed requests that were refused, by kind.
 	Refused map[errkind.Kind]int
 	Writes  int
+	Reads   int
 }
 
 func (d *budgetDay) audit() dayAudit {
-	a := dayAudit{Requests: len(d.requests), Refused: map[errkind.Kind]int{}, Writes: d.writes}
+	a := dayAudit{Requests: len(d.requests), Refused: map[errkind.Kind]int{}, Writes: d.writes, Reads: d.reads}
 	delivered := map[string]int64{}
 	for _, r := range d.requests {
 		if r.owed {
@@ -397,7 +402,7 @@
 
 func (a dayAudit) String() string {
 	refused, _ := json.Marshal(a.Refused)
-	return fmt.Sprintf("requests %d, owed %d, refused of these %d %s, over %d, stranded %d, writes %d", a.Requests, a.Owed, a.OwedRefused, refused, a.Over, a.Stranded, a.Writes)
+	return fmt.Sprintf("requests %d, owed %d, refused of these %d %s, over %d, stranded %d, writes %d, reads %d", a.Requests, a.Owed, a.OwedRefused, refused, a.Over, a.Stranded, a.Writes, a.Reads)
 }
 
 func spreadPolicy() config.GrantPolicy {
@@ -474,6 +479,13 @@
 			a := d.audit()
 			So(a.Requests, ShouldEqual, 50*dayInstances)
 			refused += a.OwedRefused
+			if a.OwedRefused > 0 {
+				for _, r := range d.requests {
+					if r.refused != errkind.None {
+						t.Log(seed, r.arrived, r.ended, r.refused)
+					}
+				}
+			}
 			writes += a.Writes
 		}
 		t.Logf("%d requests refused, %d writes", refused, writes)
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -77,7 +77,7 @@
 	for _, s := range n.ledgers.shards {
 		switch {
 		case s.resumeAt > 0 && n.now >= s.resumeAt:
-			s.resumeAt = 0
+			s.resumeAt, s.carried = 0, min(s.carried, 1)
 			n.readLedger(s)
 		case s.settle || s.failures > 0 || n.book.Touched(s.index):
 			n.flyLedger(s)
@@ -104,6 +104,11 @@
 	}
 	n.prefetch(s)
 	n.book.Untouch(s.index)
+	if n.waitsForView(s) {
+		s.flying = true
+		n.readLedger(s)
+		return
+	}
 	ops := n.prepareOperations(s)
 	if len(ops) == 0 {
 		n.ledgerDenies(s, errkind.BudgetExhausted)
@@ -118,6 +123,17 @@
 	}
 }
 
+// exhaustedAge is the age of the view of a ledger up to which requests are
+// refused for want of tokens without reading it again: others rarely return
+// tokens more often than that.
+const exhaustedAge = 300 * time.Millisecond
+
+// waitsForView tells whether requests wait for tokens and the view of the ledger
+// is too old to tell that it has none, where updates are to be rare.
+func (n *Node) waitsForView(s *ledgerShard) bool {
+	return n.refillPeriod() > 0 && (!s.known || n.now-s.seenAt > exhaustedAge) && len(n.waitingFor(s)) > 0
+}
+
 // freshLedger is the age up to which a shard is probably unchanged where
 // updates are rare: a read first costs less than a conflict.
 const freshLedger = 50 * time.Millisecond
