--- a/core/node/hosted_test.go
+++ b/core/node/hosted_test.go
@@ -260,3 +260,21 @@
 		})
 	})
 }
+
+func TestAStoppingInstanceSendsCallersElsewhere(t *testing.T) {
+	Convey("A request that comes too late to a stopping instance may come back at another one at once", t, func() {
+		h := newHosted()
+		h.list(false, targetEntry("t1"), event.Instance{Name: "n2", Role: event.RoleRouter, Address: "n2:1", PeerAddress: "n2:2", State: event.StateLive})
+		h.step(event.Event{PeerReceived: &event.PeerReceived{From: "n2", Incarnation: "1", Message: event.PeerMessage{Heartbeat: &event.Heartbeat{}}}})
+		h.step(event.Event{ShutdownRequired: &event.ShutdownRequired{}})
+		got := refusal(h.arrive(1, 0))
+		So(got.Kind, ShouldEqual, errkind.Stopping)
+		So(got.RetryAfter, ShouldEqual, otherInstanceRetryAfter)
+	})
+	Convey("without another instance it is told the usual time", t, func() {
+		h := newHosted()
+		h.list(false, targetEntry("t1"))
+		h.step(event.Event{ShutdownRequired: &event.ShutdownRequired{}})
+		So(refusal(h.arrive(1, 0)).RetryAfter, ShouldEqual, time.Second)
+	})
+}
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -159,9 +159,17 @@
 
 func (n *Node) refuseUnknownRequest(handle uint64, kind errkind.Kind) {
 	a := errkind.Lookup(kind)
-	n.emit(event.Action{Refuse: &event.Refuse{Request: handle, Kind: kind, Ran: a.Ran, RetryAfter: time.Duration(a.RetryAfterSeconds) * time.Second}})
+	after := time.Duration(a.RetryAfterSeconds) * time.Second
+	if (kind == errkind.Stopping || kind == errkind.NotReady) && n.liveInstances() > 1 {
+		after = otherInstanceRetryAfter
+	}
+	n.emit(event.Action{Refuse: &event.Refuse{Request: handle, Kind: kind, Ran: a.Ran, RetryAfter: after}})
 }
 
+// otherInstanceRetryAfter is when to come back, at another instance, if this one
+// does not serve while others do: at once, but not all in one moment.
+const otherInstanceRetryAfter = 50 * time.Millisecond
+
 // reserveOrWait sets the worst case of the next attempt aside, or waits for
 // the ledger.
 func (n *Node) reserveOrWait(r *request) {
