--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -11,6 +11,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -104,6 +105,26 @@
 	return s, nil
 }
 
+// Clone returns a copy that shares nothing with the shard.
+func (s *Shard) Clone() *Shard {
+	c := &Shard{Budgets: make(map[string]*Budget, len(s.Budgets))}
+	for name, b := range s.Budgets {
+		copied := *b
+		copied.Grants = make(map[Holder]*Grant, len(b.Grants))
+		for h, g := range b.Grants {
+			copied.Grants[h] = g.clone()
+		}
+		c.Budgets[name] = &copied
+	}
+	return c
+}
+
+func (g *Grant) clone() *Grant {
+	c := *g
+	c.Received, c.Sent, c.Claimed, c.Ended = maps.Clone(g.Received), maps.Clone(g.Sent), maps.Clone(g.Claimed), maps.Clone(g.Ended)
+	return &c
+}
+
 // Encode writes a shard.
 func (s *Shard) Encode() ([]byte, error) { return json.Marshal(s) }
 
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -35,3 +35,26 @@
 		})
 	})
 }
+
+func TestCloneSharesNothing(t *testing.T) {
+	Convey("Operations on a clone leave the shard as it was", t, func() {
+		s := &Shard{Budgets: map[string]*Budget{}}
+		b := s.Budget("b")
+		b.SetTarget(1000, 1)
+		b.Apply(Operation{Holder: "n1/1", Sequence: 1, Want: 300})
+		b.Apply(Operation{Holder: "n2/1", Sequence: 1, Want: 300})
+		b.Apply(Operation{Holder: "n1/1", Sequence: 2, Sent: map[Holder]int64{"n2/1": 50}})
+		before, err := s.Encode()
+		So(err, ShouldBeNil)
+		c := s.Clone()
+		same, err := c.Encode()
+		So(err, ShouldBeNil)
+		So(string(same), ShouldEqual, string(before))
+		c.Budget("b").Apply(Operation{Holder: "n2/1", Sequence: 2, Received: map[Holder]int64{"n1/1": 50}, Want: 100})
+		c.Budget("b").Apply(Operation{Holder: "n1/1", Sequence: 3, Sent: map[Holder]int64{"n2/1": 60}})
+		c.Budget("c")
+		after, err := s.Encode()
+		So(err, ShouldBeNil)
+		So(string(after), ShouldEqual, string(before))
+	})
+}
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -18,7 +18,6 @@
 	index   int
 	name    string
 	version string
-	value   []byte
 	shard   *ledger.Shard
 	known   bool
 	flying  bool
@@ -234,7 +233,7 @@
 				return
 			}
 		case event.PlatformNotFound:
-			s.version, s.value, s.shard, s.known = "", nil, &ledger.Shard{}, true
+			s.version, s.shard, s.known = "", &ledger.Shard{}, true
 		default:
 			n.ledgerFailed(s)
 			return
@@ -249,7 +248,7 @@
 	if err != nil {
 		return false
 	}
-	s.version, s.value, s.shard, s.known, s.seenAt = o.Version, o.Value, shard, true, n.now
+	s.version, s.shard, s.known, s.seenAt = o.Version, shard, true, n.now
 	return true
 }
 
@@ -278,11 +277,7 @@
 // updateLedger applies operations to the shard as last seen and writes it
 // under the condition that it is unchanged.
 func (n *Node) updateLedger(s *ledgerShard, ops map[string]*ledger.Operation) {
-	next, err := ledger.Decode(s.value)
-	if err != nil {
-		n.ledgerFailed(s)
-		return
-	}
+	next := s.shard.Clone()
 	for _, name := range sortedKeys(ops) {
 		b := next.Budget(name)
 		if c := n.configs.index.Budget(name); c != nil {
@@ -305,7 +300,7 @@
 	n.call(op, o, func(r event.PlatformResult) {
 		switch r.Status {
 		case event.PlatformOK:
-			s.version, s.value, s.shard, s.seenAt = r.Object.Version, raw, next, n.now
+			s.version, s.shard, s.seenAt = r.Object.Version, next, n.now
 			n.noteLedger(s, len(ops))
 			n.resolveApplied(s)
 			n.ledgerLanded(s)
