--- a/core/node/budget_days_test.go
+++ b/core/node/budget_days_test.go
@@ -25,7 +25,7 @@
 	dayCustomers = 6
 	// dayGap is the mean time between two requests of the largest customer; the
 	// k-th sends 1/k as often.
-	dayGap = 20 * time.Millisecond
+	dayGap = 40 * time.Millisecond
 	// dayLinkDelay is the longest time that a message takes one way.
 	dayLinkDelay = 3 * time.Millisecond
 	// daySettle is how long an ended request counts at its most, owedPerMille the
@@ -76,7 +76,11 @@
 	// most is the largest total that each budget ever had.
 	most     map[string]int64
 	requests []*dayRequest
-	handle   uint64
+	// recent are the requests of each budget that may still count at their most,
+	// settled what the others delivered.
+	recent  map[string][]*dayRequest
+	settled map[string]int64
+	handle  uint64
 	// factor multiplies the requests of a customer.
 	factor map[string]float64
 }
@@ -109,6 +113,7 @@
 	d := &budgetDay{
 		rng: rand.New(rand.NewPCG(seed, 1)), policy: grants, cut: map[string]bool{},
 		totals: map[string]int64{}, most: map[string]int64{}, factor: map[string]float64{},
+		recent: map[string][]*dayRequest{}, settled: map[string]int64{},
 	}
 	for c := range dayCustomers {
 		d.totals[customerName(c)] = prepaid / int64(c+1)
@@ -205,7 +210,11 @@
 func (d *budgetDay) kill(in *dayNode, restart time.Duration) {
 	in.dead = true
 	for _, r := range in.open {
-		d.end(r, min(1, float64(d.now-r.started)/float64(r.length)))
+		part := 0.0
+		if r.length > 0 { // it was sent to a target
+			part = min(1, float64(d.now-r.started)/float64(r.length))
+		}
+		d.end(r, part)
 	}
 	d.after(restart, func() { d.start(in) })
 }
@@ -233,6 +242,9 @@
 	}
 }
 
+// lateWrite is the longest time after which a write without an answer takes effect.
+const lateWrite = 6 * time.Second
+
 // callTimeout is when an instance gives up a call of the platform.
 const callTimeout = time.Second
 
@@ -241,6 +253,8 @@
 		r := event.PlatformResult{Call: call.Call, Status: event.PlatformUnknown}
 		if call.Op == event.OpGet {
 			r.Status = event.PlatformUnavailable
+		} else if d.rng.IntN(4) == 0 { // takes effect late, if its condition still holds
+			d.after(time.Duration(d.rng.Int64N(int64(lateWrite))), func() { d.platformCall(call) })
 		}
 		d.after(callTimeout, func() { d.step(in, event.Event{PlatformResult: &r}) })
 		return
@@ -336,6 +350,7 @@
 	r := &dayRequest{budget: budgetName, most: most, total: most/4 + d.rng.Int64N(most/2), arrived: d.now}
 	r.owed = most+d.charged(budgetName) <= d.totals[budgetName]*owedPerMille/1000
 	d.requests = append(d.requests, r)
+	d.recent[budgetName] = append(d.recent[budgetName], r)
 	d.handle++
 	in.open[d.handle] = r
 	d.step(in, event.Event{RequestArrived: &event.RequestArrived{
@@ -348,16 +363,15 @@
 // what they delivered, the others at their most.
 func (d *budgetDay) charged(budgetName string) int64 {
 	var sum int64
-	for _, r := range d.requests {
-		switch {
-		case r.budget != budgetName:
-		case r.done && d.now-r.ended >= daySettle, r.done && r.refused != errkind.None:
-			sum += r.delivered
-		default:
+	d.recent[budgetName] = slices.DeleteFunc(d.recent[budgetName], func(r *dayRequest) bool {
+		if r.refused == errkind.None && (!r.done || d.now-r.ended < daySettle) {
 			sum += r.most
+			return false
 		}
-	}
-	return sum
+		d.settled[budgetName] += r.delivered
+		return true
+	})
+	return sum + d.settled[budgetName]
 }
 
 // dayAudit is what a day did for its callers.
@@ -407,7 +421,7 @@
 
 func spreadPolicy() config.GrantPolicy {
 	return config.GrantPolicy{
-		Policy: config.GrantSpread, SizeTokens: 20_000, RunwaySeconds: 16, MaxSharePerMille: 500,
+		Policy: config.GrantSpread, SizeTokens: 20_000, RunwaySeconds: 16, MaxSharePerMille: 400,
 		PeerTransfer: true, RefillMillis: 1500, MaxWaitMillis: 400,
 	}
 }
@@ -442,15 +456,75 @@
 
 func (d *budgetDay) killAll(restart time.Duration) {
 	for _, in := range slices.Clone(d.nodes) {
+		if in.dead {
+			continue
+		}
 		d.kill(in, restart+time.Duration(d.rng.Int64N(int64(500*time.Millisecond))))
 	}
 }
 
-func TestBudgetDay(t *testing.T) {
-	for seed := range uint64(3) {
-		d := newBudgetDay(seed, spreadPolicy(), 4_500_000)
-		playCutsAndKill(d)
-		t.Logf("seed %d: %v", seed, d.audit())
+// TestBudgetDays plays a day of cuts, a hot customer, changed totals and a loss
+// of all processes under each policy, and prints what it did for callers (go
+// test -v). No policy may overspend; spread refuses the fewest owed requests.
+func TestBudgetDays(t *testing.T) {
+	Convey("A day of cuts that ends with a loss of all processes", t, func() {
+		refused := map[string]int{}
+		for _, name := range []string{config.GrantStatic, config.GrantFixed, config.GrantAdaptive, config.GrantSpread} {
+			for seed := range uint64(1) {
+				policy := spreadPolicy()
+				policy.Policy = name
+				d := newBudgetDay(seed, policy, 2_250_000)
+				playCutsAndKill(d)
+				a := d.audit()
+				t.Logf("%s, seed %d: %v", name, seed, a)
+				So(a.Over, ShouldEqual, 0)
+				refused[name] += a.OwedRefused
+			}
+		}
+		for _, name := range []string{config.GrantStatic, config.GrantFixed, config.GrantAdaptive} {
+			So(refused[config.GrantSpread], ShouldBeLessThan, refused[name])
+		}
+	})
+}
+
+// TestBudgetsHoldOnRandomDays lets anything happen at any moment: cuts of some
+// or all instances, kills, totals that rise and fall, hot customers.
+func TestBudgetsHoldOnRandomDays(t *testing.T) {
+	for seed := range uint64(8) {
+		d := newBudgetDay(seed, spreadPolicy(), 500_000)
+		for d.now < 20*time.Second {
+			d.disturb()
+			d.runUntil(d.now + time.Duration(d.rng.Int64N(int64(2*time.Second))))
+		}
+		if a := d.audit(); a.Over > 0 {
+			t.Errorf("seed %d: %v", seed, a)
+		}
+	}
+}
+
+// disturb does one thing that may happen to a fleet.
+func (d *budgetDay) disturb() {
+	customer := customerName(d.rng.IntN(dayCustomers))
+	in := d.nodes[d.rng.IntN(len(d.nodes))]
+	switch d.rng.IntN(8) {
+	case 0:
+		d.cutAll(true)
+	case 1, 2:
+		d.cutAll(false)
+	case 3:
+		d.cut[in.name] = !d.cut[in.name]
+	case 4:
+		if !in.dead {
+			d.kill(in, 500*time.Millisecond)
+		}
+	case 5:
+		d.setTotal(customer, d.totals[customer]*int64(700+d.rng.IntN(800))/1000)
+	case 6:
+		d.factor[customer] = float64(1 + d.rng.IntN(3))
+	case 7:
+		if d.rng.IntN(4) == 0 {
+			d.killAll(500 * time.Millisecond)
+		}
 	}
 }
 
