--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -117,13 +117,6 @@
 	return 2*able > others
 }
 
-// ledgerCovers tells whether the ledger had tokens left for the request a moment
-// ago: others were faster to write to it.
-func (n *Node) ledgerCovers(r *request) bool {
-	s := n.ledgers.shardOf(r.Budget)
-	return s.failures == 0 && n.now-s.seenAt <= holdingsAge && n.sizing(s, r.Budget).LedgerAvailable >= r.WorstCaseTokens
-}
-
 // budgetCovers tells whether a request that is refused for want of tokens may
 // be served once others have returned what they hold.
 func (n *Node) budgetCovers(r *request, kind errkind.Kind) bool {
@@ -142,7 +135,7 @@
 	if n.budgetCovers(r, kind) {
 		return busyRetryAfter
 	}
-	if kind == errkind.BudgetUnavailable && r.HandedOver && (n.ledgerCovers(r) || n.othersHold(r)) {
+	if kind == errkind.BudgetUnavailable && r.HandedOver && n.othersHold(r) {
 		return elsewhereRetryAfter
 	}
 	return time.Duration(errkind.Lookup(kind).RetryAfterSeconds) * time.Second
