--- a/core/node/budget_days_test.go
+++ b/core/node/budget_days_test.go
@@ -422,7 +422,7 @@
 func spreadPolicy() config.GrantPolicy {
 	return config.GrantPolicy{
 		Policy: config.GrantSpread, SizeTokens: 20_000, RunwaySeconds: 16, MaxSharePerMille: 400,
-		PeerTransfer: true, RefillMillis: 1500, MaxWaitMillis: 400,
+		PeerTransfer: true, RefillMillis: 1500, MaxWaitMillis: 250,
 	}
 }
 
--- a/core/node/transfers.go
+++ b/core/node/transfers.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// peerWait bounds how long a request waits for peers.
-	peerWait = 250 * time.Millisecond
+	// peerWait bounds how long a request waits for peers, peerWaitShare the part
+	// of the whole wait for tokens that this is where the policy bounds it.
+	peerWait      = 250 * time.Millisecond
+	peerWaitShare = 2
 	// askTimeout bounds the wait for the answers to one set of questions.
 	askTimeout = 80 * time.Millisecond
 	// askPause is the least time between two rounds for one budget.
@@ -54,10 +56,23 @@
 		return
 	}
 	r.refusal = kind
-	r.peersUntil = n.now + peerWait
+	r.peersUntil = n.now + n.peerWait()
 	n.startRound(r.Budget)
 }
 
+// peerWait is how long a request waits for peers.
+func (n *Node) peerWait() time.Duration {
+	if most := n.maxWait(); most > 0 {
+		return min(peerWait, most/peerWaitShare)
+	}
+	return peerWait
+}
+
+// maxWait is how long a request may wait for tokens, or 0.
+func (n *Node) maxWait() time.Duration {
+	return time.Duration(n.configs.index.Document.Policies.Grants.MaxWaitMillis) * time.Millisecond
+}
+
 // waitingForPeers returns the requests of a budget that wait for peers.
 func (n *Node) waitingForPeers(budgetName string) []*request {
 	var out []*request
@@ -265,7 +280,7 @@
 // waitedTooLong tells whether a request has waited for tokens for as long as the
 // policy allows. Its refusal is then what is known of the budget.
 func (n *Node) waitedTooLong(r *request) bool {
-	most := time.Duration(n.configs.index.Document.Policies.Grants.MaxWaitMillis) * time.Millisecond
+	most := n.maxWait()
 	if most == 0 || n.now-r.since < most {
 		return false
 	}
--- a/fleet/daemon/policies.go
+++ b/fleet/daemon/policies.go
@@ -20,9 +20,10 @@
 	grantSharePerMille = 400
 	// grantRefillMillis keeps an instance's ledger updates below one a second.
 	grantRefillMillis = 1500
-	// grantWaitMillis is the goal of the shortest route's first event: a request
-	// that waits longer is late at any rate.
-	grantWaitMillis = 400
+	// grantWaitMillis leaves a request that waited time to be in time: the shortest
+	// goal of a route's first event is 400 ms, and a target needs a hundred. Few
+	// that wait longer are served.
+	grantWaitMillis = 250
 	// retryAttempts is for routes that state no number of attempts.
 	retryAttempts = 2
 	// retryDelayMillis is short, for the next attempt goes to another target.
