--- a/core/placement/load_test.go
+++ b/core/placement/load_test.go
@@ -81,10 +81,12 @@
 // engine reads one prompt at a time, a chunk in each step, and makes a token of
 // each other stream in the same step.
 type engine struct {
-	name    string
-	reading []*stream
-	running []*stream
-	at      time.Duration
+	name string
+	// slowness multiplies the time of each step.
+	slowness float64
+	reading  []*stream
+	running  []*stream
+	at       time.Duration
 }
 
 // step plays one step and returns the streams that ended.
@@ -103,7 +105,7 @@
 		e.reading = e.reading[1:]
 		e.running = append(e.running, s)
 	}
-	e.at += time.Duration(millis * float64(time.Millisecond))
+	e.at += time.Duration(millis * e.slowness * float64(time.Millisecond))
 	kept := e.running[:0]
 	for _, s := range e.running {
 		s.tokens++
@@ -148,7 +150,11 @@
 	kinds := shape.kinds()
 	var all []*engine
 	for i := range shape.targets {
-		all = append(all, &engine{name: fmt.Sprintf("t%d", i)})
+		slowness := 1.0
+		if i%3 == 2 {
+			slowness = 1.3
+		}
+		all = append(all, &engine{name: fmt.Sprintf("t%d", i), slowness: slowness})
 	}
 	known := make([]Work, shape.targets)
 	own := make([][]Work, loadInstances)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -32,12 +32,13 @@
 	// send the requests of all instances to the same target until the next report.
 	sampled = 4
 	// longPrompt is the number of unread tokens from which a prompt slows the
-	// streams beside it too much: a step with a chunk of 2,048 tokens after that
-	// many takes 50 ms, and six of them, one event, the 300 ms of the routes.
-	longPrompt = 24_000
+	// streams beside it too much: at the slower engines measured a step with a chunk
+	// of 2,048 tokens after that many takes 55 ms, and six of them, one event, more
+	// than the 300 ms of the routes.
+	longPrompt = 16_000
 	// targetsPerLong is the number of targets for each one that is kept for long
 	// prompts. With fewer targets none is.
-	targetsPerLong = 5
+	targetsPerLong = 4
 	// keptClear is what such a target counts as having more to do for other
 	// prompts, and another target for long ones: the work of about a quarter of its
 	// places. This and the next weight were chosen by the load of
