--- a/fleet/daemon/policies.go
+++ b/fleet/daemon/policies.go
@@ -28,6 +28,9 @@
 	retryAttempts = 2
 	// retryDelayMillis is short, for the next attempt goes to another target.
 	retryDelayMillis = 10
+	// addressSeconds is how long callers keep an address answer. Some keep it three
+	// times as long, which a stopping instance serves through.
+	addressSeconds = 1
 	// quarantineTargets is the number of targets that one request may crash before
 	// it is given up: the platform allows three.
 	quarantineTargets = 3
@@ -45,7 +48,7 @@
 	p.Retries.MaxAttempts = retryAttempts
 	p.Retries.BaseDelayMillis = retryDelayMillis
 	p.Limits.Policy = config.LimitFixed
-	p.Addresses = config.AddressPolicy{TTLSeconds: int64(h.AddressTTL / time.Second)}
+	p.Addresses = config.AddressPolicy{TTLSeconds: min(addressSeconds, max(1, int64(h.AddressTTL/time.Second)))}
 	p.Quarantine.MaxTargets = quarantineTargets
 	p.Billing.WhenIsolated = config.IsolatedServe
 	return p
