--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -32,9 +32,8 @@
 	carried   int
 	resumeAt  time.Duration
 	// seenAt is when the shard was last read or written; nextFlight is when the
-	// next update may begin that no request waits for.
-	// nextUrgent is when the next one may begin at all: later after one that met
-	// conflicts.
+	// next update may begin that no request waits for, nextUrgent any other: later
+	// after one that met conflicts.
 	seenAt     time.Duration
 	nextFlight time.Duration
 	nextUrgent time.Duration
@@ -123,8 +122,8 @@
 }
 
 // exhaustedAge is the age of the view of a ledger up to which requests are
-// refused for want of tokens without reading it again: others rarely return
-// tokens more often than that.
+// refused for want of tokens without reading it again: a fifth of the time
+// between two updates by one instance.
 const exhaustedAge = 300 * time.Millisecond
 
 // waitsForView tells whether requests wait for tokens and the view of the ledger
@@ -324,7 +323,7 @@
 	carriedAtOnce = 8
 	// contendedPause, for each such conflict, up to contendedMax bounds the pause
 	// after the flight: the next one then serves more requests. The maximum is
-	// half of the time that a request may wait for tokens.
+	// shorter than a request may wait for tokens.
 	contendedPause = 100 * time.Millisecond
 	contendedMax   = 200 * time.Millisecond
 )
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -10,10 +10,8 @@
 package placement
 
 import (
-	"cmp"
 	"encoding/binary"
 	"math/rand/v2"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -31,22 +29,6 @@
 	// the one that keeps the prompt's shared parts. Comparing all of them would
 	// send the requests of all instances to the same target until the next report.
 	sampled = 4
-	// longPrompt is the number of unread tokens from which a prompt slows the
-	// streams beside it too much: at the slower engines measured a step with a chunk
-	// of 2,048 tokens after that many takes 55 ms, and six of them, one event, more
-	// than the 300 ms of the routes.
-	longPrompt = 16_000
-	// targetsPerLong is the number of targets for each one that is kept for long
-	// prompts. With fewer targets none is.
-	targetsPerLong = 4
-	// keptClear is what such a target counts as having more to do for other
-	// prompts, and another target for long ones: the work of about a quarter of its
-	// places. This and the next weight were chosen by the load of
-	// TestLongPromptsBesideStreams.
-	keptClear = 8000
-	// slowedPerMille is the weight of a running stream for each unread token beyond
-	// longPrompt, in thousandths of a token.
-	slowedPerMille = 500
 )
 
 // Work is what a target has to do.
@@ -92,9 +74,6 @@
 	LongPrompts bool
 }
 
-// Long tells whether the request's prompt is one that is kept apart.
-func (r Request) Long() bool { return r.total() > longPrompt }
-
 // total is the length of the prompt.
 func (r Request) total() int64 {
 	var sum int64
@@ -115,7 +94,7 @@
 // Choose returns the index of the best of the candidates, of which there is at
 // least one.
 func Choose(cs []Candidate, r Request, rng *rand.Rand) int {
-	p := placing{cs: cs, r: r, homes: r.homes(cs), clear: r.keptForLong(cs)}
+	p := placing{cs: cs, r: r, homes: r.homes(cs), apart: r.apart(cs)}
 	best := p.homes.first
 	if best < 0 {
 		best = rng.IntN(len(cs))
@@ -127,7 +106,7 @@
 	}
 	consider(p.homes.second)
 	if r.Long() {
-		for _, i := range p.clear {
+		for _, i := range p.apart {
 			consider(i)
 		}
 	}
@@ -148,31 +127,8 @@
 	cs    []Candidate
 	r     Request
 	homes homes
-	// clear are the candidates that are kept for long prompts.
-	clear []int
-}
-
-// keptForLong returns the candidates that are kept for long prompts, by
-// rendezvous hashing; none while there are no such prompts.
-func (r Request) keptForLong(cs []Candidate) []int {
-	count := len(cs) / targetsPerLong
-	if count == 0 || !(r.LongPrompts || r.Long()) {
-		return nil
-	}
-	type ranked struct {
-		index int
-		score uint64
-	}
-	all := make([]ranked, len(cs))
-	for i, c := range cs {
-		all[i] = ranked{i, score(longPrompt, c.Name)}
-	}
-	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
-	kept := make([]int, count)
-	for i := range kept {
-		kept[i] = all[i].index
-	}
-	return kept
+	// apart are the candidates that are kept for long prompts.
+	apart []int
 }
 
 // homes are the targets that keep the last shared part, by rendezvous hashing:
@@ -219,18 +175,9 @@
 	if !c.Near {
 		cost += farTokens
 	}
-	if len(p.clear) > 0 && slices.Contains(p.clear, i) != p.r.Long() {
-		cost += keptClear
-	}
-	if p.r.Long() {
-		cost += max(0, unread-longPrompt) * int64(c.Work.Running) * slowedPerMille / perMille
-	}
-	return cost
+	return cost + p.longCost(i, unread)
 }
 
-// perMille is the unit of weights.
-const perMille = 1000
-
 // score is the rendezvous hash of a part and a target.
 func score(part uint64, target string) uint64 {
 	var b [8]byte
