--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -378,7 +378,7 @@
 	for _, name := range n.book.InShard(s.index) {
 		own += n.book.Look(name).Available()
 	}
-	n.note("ledger updated", "version", s.version, "operations", operations, "prepaid", prepaid, "settled", settled, "outstanding", outstanding, "own_unspent", own)
+	n.note("ledger updated", "version", s.version, "operations", operations, "conflicts", s.conflicts+s.carried, "prepaid", prepaid, "settled", settled, "outstanding", outstanding, "own_unspent", own)
 }
 
 // ledgerLanded ends a flight and lets waiting requests try again.
--- a/core/placement/load_test.go
+++ b/core/placement/load_test.go
@@ -49,7 +49,11 @@
 	reports float64
 }
 
-var usualShape = loadShape{"usual", 18, [3]float64{1, 1, 1}, 6610}
+var (
+	usualShape = loadShape{"usual", 18, [3]float64{1, 1, 1}, 6610}
+	// aloneShape gives each request a target of its own: what no choice can exceed.
+	aloneShape = loadShape{"alone", 2000, [3]float64{1, 1, 1}, 6610}
+)
 
 func (l loadShape) kinds() []loadKind {
 	kinds := []loadKind{
@@ -251,7 +255,8 @@
 	Convey("Under the usual load every kind is late less often, and pauses are a quarter as many", t, func() {
 		before, creditBefore := sum(usualShape, chooseMixed)
 		after, creditAfter := sum(usualShape, Choose)
-		t.Logf("credit %.3f, before %.3f", creditAfter, creditBefore)
+		_, creditAlone := sum(aloneShape, chooseMixed)
+		t.Logf("credit %.3f, before %.3f, with a target for each request %.3f", creditAfter, creditBefore, creditAlone)
 		pausesBefore, pausesAfter := 0, 0
 		for name := range before {
 			t.Logf("%s: of %d late %d (first event %d, pause %d), before of %d late %d (%d, %d)", name, after[name].all, after[name].late,
