--- a/core/placement/load_test.go
+++ b/core/placement/load_test.go
@@ -252,7 +252,7 @@
 // fewer of them miss their pace, without harm to any kind, and that loads of
 // other shapes are served no worse than without targets kept for long prompts.
 func TestLongPromptsBesideStreams(t *testing.T) {
-	Convey("Under the usual load every kind is late less often, and pauses are a quarter as many", t, func() {
+	Convey("Under the usual load every kind is late less often, and pauses are less than a third as many", t, func() {
 		before, creditBefore := sum(usualShape, chooseMixed)
 		after, creditAfter := sum(usualShape, Choose)
 		_, creditAlone := sum(aloneShape, chooseMixed)
