--- a/core/placement/load_test.go
+++ b/core/placement/load_test.go
@@ -71,15 +71,14 @@
 
 // stream is one request at an engine.
 type stream struct {
-	kind     int
-	instance int
-	prompt   int64
-	read     int64
-	tokens   int
-	arrived  time.Duration
-	first    time.Duration
-	event    time.Duration
-	pause    time.Duration
+	kind    int
+	prompt  int64
+	read    int64
+	tokens  int
+	arrived time.Duration
+	first   time.Duration
+	event   time.Duration
+	pause   time.Duration
 }
 
 // engine reads one prompt at a time, a chunk in each step, and makes a token of
@@ -95,9 +94,25 @@
 
 // step plays one step and returns the streams that ended.
 func (e *engine) step(kinds []loadKind) (ended []*stream) {
-	millis := 3.82 + 0.0227*float64(len(e.running))
-	left := int64(chunkTokens)
-	for left > 0 && len(e.reading) > 0 {
+	millis := 3.82 + 0.0227*float64(len(e.running)) + e.readChunk()
+	e.at += time.Duration(millis * e.slowness * float64(time.Millisecond))
+	kept := e.running[:0]
+	for _, s := range e.running {
+		s.token(e.at)
+		if s.tokens >= kinds[s.kind].events*strideTokens {
+			ended = append(ended, s)
+			continue
+		}
+		kept = append(kept, s)
+	}
+	e.running = kept
+	return ended
+}
+
+// readChunk reads a chunk of the waiting prompts and returns its time in
+// milliseconds: a part for each token and one for each pair with those before.
+func (e *engine) readChunk() (millis float64) {
+	for left := int64(chunkTokens); left > 0 && len(e.reading) > 0; {
 		s := e.reading[0]
 		part := min(left, s.prompt-s.read)
 		millis += float64(part)/68.2 + 0.242*float64(part)*float64(s.read)/1e6
@@ -109,26 +124,21 @@
 		e.reading = e.reading[1:]
 		e.running = append(e.running, s)
 	}
-	e.at += time.Duration(millis * e.slowness * float64(time.Millisecond))
-	kept := e.running[:0]
-	for _, s := range e.running {
-		s.tokens++
-		if s.tokens%strideTokens == 1 {
-			if s.first == 0 {
-				s.first = e.at
-			} else {
-				s.pause = max(s.pause, e.at-s.event)
-			}
-			s.event = e.at
-		}
-		if s.tokens >= kinds[s.kind].events*strideTokens {
-			ended = append(ended, s)
-			continue
-		}
-		kept = append(kept, s)
+	return millis
+}
+
+// token makes one token of a stream; each event holds several.
+func (s *stream) token(at time.Duration) {
+	s.tokens++
+	if s.tokens%strideTokens != 1 {
+		return
 	}
-	e.running = kept
-	return ended
+	if s.first == 0 {
+		s.first = at
+	} else {
+		s.pause = max(s.pause, at-s.event)
+	}
+	s.event = at
 }
 
 func (e *engine) idle() bool { return len(e.reading)+len(e.running) == 0 }
@@ -148,59 +158,101 @@
 	credit, owed                    float64
 }
 
-// play runs the load against a choice of targets and returns what callers got.
-func play(seed uint64, shape loadShape, choose func([]Candidate, Request, *rand.Rand) int) map[string]served {
-	rng := rand.New(rand.NewPCG(seed, 2))
-	kinds := shape.kinds()
-	var all []*engine
+// loadRun is one load on its way through engines.
+type loadRun struct {
+	rng     *rand.Rand
+	kinds   []loadKind
+	engines []*engine
+	// next is when the next request of each kind arrives.
+	next []time.Duration
+	// known is the engines' work when instances last told each other, own what each
+	// instance has sent to each engine since.
+	known []Work
+	own   [][]Work
+	tell  time.Duration
+	out   map[string]served
+}
+
+func newLoadRun(seed uint64, shape loadShape) *loadRun {
+	l := &loadRun{
+		rng: rand.New(rand.NewPCG(seed, 2)), kinds: shape.kinds(), known: make([]Work, shape.targets),
+		own: make([][]Work, loadInstances), out: map[string]served{},
+	}
+	l.next = make([]time.Duration, len(l.kinds))
 	for i := range shape.targets {
 		slowness := 1.0
 		if i%3 == 2 {
 			slowness = 1.3
 		}
-		all = append(all, &engine{name: fmt.Sprintf("t%d", i), slowness: slowness})
+		l.engines = append(l.engines, &engine{name: fmt.Sprintf("t%d", i), slowness: slowness})
 	}
-	known := make([]Work, shape.targets)
-	own := make([][]Work, loadInstances)
-	out := map[string]served{}
-	next := make([]time.Duration, len(kinds))
-	var reported time.Duration
-	for now := time.Duration(0); now < loadSpan; {
-		kind := 0
-		for k := range kinds {
-			if next[k] < next[kind] {
-				kind = k
-			}
+	return l
+}
+
+// play runs the load against a choice of targets and returns what callers got.
+func play(seed uint64, shape loadShape, choose func([]Candidate, Request, *rand.Rand) int) map[string]served {
+	l := newLoadRun(seed, shape)
+	for {
+		kind, now := l.nextArrival()
+		if now >= loadSpan {
+			return l.out
 		}
-		now = next[kind]
-		next[kind] += time.Duration(rng.ExpFloat64() / kinds[kind].perSecond * float64(time.Second))
-		for _, e := range all {
-			for !e.idle() && e.at < now {
-				for _, s := range e.step(kinds) {
-					out[kinds[s.kind].name] = out[kinds[s.kind].name].add(s, kinds[s.kind])
-				}
-			}
-			e.at = max(e.at, now)
+		l.playUntil(now)
+		l.tellLoads(now)
+		s := &stream{kind: kind, prompt: l.kinds[kind].prompt(l.rng), arrived: now}
+		from := l.rng.IntN(loadInstances)
+		to := choose(l.candidates(from), Request{Parts: []Part{{l.rng.Uint64(), s.prompt}}, LongPrompts: true}, l.rng)
+		l.own[from][to] = l.own[from][to].Add(Work{s.prompt, 1})
+		l.engines[to].reading = append(l.engines[to].reading, s)
+	}
+}
+
+// nextArrival returns the kind and the time of the next request.
+func (l *loadRun) nextArrival() (kind int, at time.Duration) {
+	for k := range l.kinds {
+		if l.next[k] < l.next[kind] {
+			kind = k
 		}
-		if now >= reported {
-			reported = now + reportEvery
-			for i, e := range all {
-				known[i] = e.work()
-			}
-			for i := range own {
-				own[i] = make([]Work, shape.targets)
+	}
+	at = l.next[kind]
+	l.next[kind] += time.Duration(l.rng.ExpFloat64() / l.kinds[kind].perSecond * float64(time.Second))
+	return kind, at
+}
+
+// playUntil lets the engines work until a time.
+func (l *loadRun) playUntil(now time.Duration) {
+	for _, e := range l.engines {
+		for !e.idle() && e.at < now {
+			for _, s := range e.step(l.kinds) {
+				k := l.kinds[s.kind]
+				l.out[k.name] = l.out[k.name].add(s, k)
 			}
 		}
-		s := &stream{kind: kind, instance: rng.IntN(loadInstances), prompt: kinds[kind].prompt(rng), arrived: now}
-		cs := make([]Candidate, shape.targets)
-		for i, e := range all {
-			cs[i] = Candidate{Name: e.name, Work: known[i].Add(own[s.instance][i]), Near: true}
-		}
-		to := choose(cs, Request{Parts: []Part{{rng.Uint64(), s.prompt}}, LongPrompts: true}, rng)
-		own[s.instance][to] = own[s.instance][to].Add(Work{s.prompt, 1})
-		all[to].reading = append(all[to].reading, s)
+		e.at = max(e.at, now)
+	}
+}
+
+// tellLoads lets instances tell each other what they sent, if that is due.
+func (l *loadRun) tellLoads(now time.Duration) {
+	if now < l.tell {
+		return
+	}
+	l.tell = now + reportEvery
+	for i, e := range l.engines {
+		l.known[i] = e.work()
+	}
+	for i := range l.own {
+		l.own[i] = make([]Work, len(l.engines))
+	}
+}
+
+// candidates are the engines as an instance sees them.
+func (l *loadRun) candidates(instance int) []Candidate {
+	cs := make([]Candidate, len(l.engines))
+	for i, e := range l.engines {
+		cs[i] = Candidate{Name: e.name, Work: l.known[i].Add(l.own[instance][i]), Near: true}
 	}
-	return out
+	return cs
 }
 
 func (c served) add(s *stream, k loadKind) served {
