--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -315,6 +315,9 @@
 }
 
 const (
+	// conflictBase and conflictMax bound the delays after conflicts that carry no
+	// object: from a few round trips to the platform up to a second, so that some
+	// hundred instances stay within the calls that it takes.
 	conflictBase = 10 * time.Millisecond
 	conflictMax  = time.Second
 	// carriedAtOnce is how many times a flight goes on at once from the object
--- a/core/placement/load_test.go
+++ b/core/placement/load_test.go
@@ -21,7 +21,14 @@
 	pauseAim = 300 * time.Millisecond
 	// strideTokens is the number of tokens in an event.
 	strideTokens = 6
-	chunkTokens  = 2048
+	// The engine's figures are those of the model servers on the users' sheets: a
+	// chunk in tokens, the time of a step and of each stream in it, the prompt
+	// tokens read in a millisecond, and the time for a million pairs of tokens.
+	chunkTokens    = 2048
+	stepMillis     = 3.82
+	slotMillis     = 0.0227
+	promptPerMilli = 68.2
+	pairsMillis    = 0.242
 )
 
 // loadKind is one kind of request.
@@ -94,7 +101,7 @@
 
 // step plays one step and returns the streams that ended.
 func (e *engine) step(kinds []loadKind) (ended []*stream) {
-	millis := 3.82 + 0.0227*float64(len(e.running)) + e.readChunk()
+	millis := stepMillis + slotMillis*float64(len(e.running)) + e.readChunk()
 	e.at += time.Duration(millis * e.slowness * float64(time.Millisecond))
 	kept := e.running[:0]
 	for _, s := range e.running {
@@ -115,7 +122,7 @@
 	for left := int64(chunkTokens); left > 0 && len(e.reading) > 0; {
 		s := e.reading[0]
 		part := min(left, s.prompt-s.read)
-		millis += float64(part)/68.2 + 0.242*float64(part)*float64(s.read)/1e6
+		millis += float64(part)/promptPerMilli + pairsMillis*float64(part)*float64(s.read)/1e6
 		s.read += part
 		left -= part
 		if s.read < s.prompt {
