Log what a ledger update costs and why tokens were unavailable

'ledger updated' says how long it took, the object's size and its grants; 'ledger update failed' and 'tokens unavailable' are new; calls to the platform are counted by kind, operation and outcome with bytes and time, as metrics and in a line each ten seconds.

--- a/core/node/gonegrants.go
+++ b/core/node/gonegrants.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		r.cursor = (r.cursor + i + 1) % count
-		s.inFlight = true
+		n.beginLedgerUpdate(s)
 		n.readLedger(s)
 		return
 	}
--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -37,9 +37,26 @@
 		n.emit(event.Action{HandOver: &event.HandOver{Request: r.Request, Address: n.members.peers[name].Address}})
 		return
 	}
+	n.logTokensUnavailable(r, rd)
 	n.finishRefused(r, r.refusal)
 }
 
+// logTokensUnavailable logs on what grounds a request is refused for lack of
+// tokens.
+func (n *Node) logTokensUnavailable(r *request, rd *transferRound) {
+	s := n.ledgers.shardOf(r.Budget)
+	updating, peersAsked := time.Duration(0), 0
+	if s.inFlight {
+		updating = n.now - s.startedAt
+	}
+	if rd != nil {
+		peersAsked = len(rd.offers) + len(rd.pending)
+	}
+	n.logChange("tokens unavailable", "request", r.Key, "budget", r.Budget, "kind", string(r.refusal), "tokens", r.WorstCaseTokens, "waited", n.now-r.since,
+		"own_available", n.book.Lookup(r.Budget).Available(), "ledger_available", n.sizing(s, r.Budget).LedgerAvailable, "ledger_age", n.now-s.seenAt,
+		"updating", updating, "conflicts", s.conflicts+s.objectConflicts, "failures", s.failures, "peers_asked", peersAsked)
+}
+
 // handOverPeer returns the peer that can admit a request that has not run and
 // has the most tokens for it, or "" if there is none. What a peer may obtain
 // from the ledger counts only if this instance could not read the ledger
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -18,10 +18,14 @@
 	name    string
 	version string
 	shard   *ledger.Shard
+	// bytes is the size of the encoded shard when it was last read or written.
+	bytes int
 	// known is set once the object has been read. It is cleared after a
 	// conflict, a lost result or a failed call, when the view may be outdated.
 	known    bool
 	inFlight bool
+	// startedAt is when the update in flight, or else the last one, started.
+	startedAt time.Duration
 	// settle is set when the settle period has ended, so that the next update
 	// reports spending.
 	settle   bool
@@ -107,7 +111,7 @@
 	n.prefetch(s)
 	n.book.ClearDirty(s.index)
 	if n.needsFreshView(s) {
-		s.inFlight = true
+		n.beginLedgerUpdate(s)
 		n.readLedger(s)
 		return
 	}
@@ -116,7 +120,7 @@
 		n.fallBackToPeers(s, errkind.BudgetExhausted)
 		return
 	}
-	s.inFlight = true
+	n.beginLedgerUpdate(s)
 	s.nextBackgroundUpdate = n.now + n.backgroundUpdatePeriod()
 	if s.known && (n.refillPeriod() == 0 || n.now-s.seenAt < maxUpdateViewAge) {
 		n.updateLedger(s, ops)
@@ -125,6 +129,8 @@
 	}
 }
 
+func (n *Node) beginLedgerUpdate(s *ledgerShard) { s.inFlight, s.startedAt = true, n.now }
+
 // maxExhaustedViewAge is the maximum age of a ledger view on which requests are
 // refused for lack of tokens without reading the ledger again: a fifth of the
 // time between two updates by one instance.
@@ -260,7 +266,7 @@
 	if err != nil {
 		return false
 	}
-	s.version, s.shard, s.known, s.seenAt = o.Version, shard, true, n.now
+	s.version, s.shard, s.bytes, s.known, s.seenAt = o.Version, shard, len(o.Value), true, n.now
 	return true
 }
 
@@ -314,7 +320,7 @@
 	n.callPlatform(op, o, func(r event.PlatformResult) {
 		switch r.Status {
 		case event.PlatformOK:
-			s.version, s.shard, s.seenAt = r.Object.Version, next, n.now
+			s.version, s.shard, s.bytes, s.seenAt = r.Object.Version, next, len(raw), n.now
 			n.logLedgerUpdate(s, len(ops))
 			n.reconcileAccounts(s)
 			n.finishLedgerUpdate(s)
@@ -392,16 +398,19 @@
 // budgets.
 func (n *Node) logLedgerUpdate(s *ledgerShard, operations int) {
 	var prepaid, settled, outstanding, ownUnspent int64
+	grants := 0
 	for _, name := range sortedKeys(s.shard.Budgets) {
 		b := s.shard.Budgets[name]
 		prepaid += b.Prepaid
 		settled += b.SettledTotal()
 		outstanding += b.Outstanding()
+		grants += len(b.Grants)
 	}
 	for _, name := range n.book.BudgetsInShard(s.index) {
 		ownUnspent += n.book.Lookup(name).Available()
 	}
-	n.logChange("ledger updated", "version", s.version, "operations", operations, "conflicts", s.conflicts+s.objectConflicts, "prepaid", prepaid, "settled", settled, "outstanding", outstanding, "own_unspent", ownUnspent)
+	n.logChange("ledger updated", "version", s.version, "operations", operations, "conflicts", s.conflicts+s.objectConflicts, "took", n.now-s.startedAt,
+		"bytes", s.bytes, "grants", grants, "prepaid", prepaid, "settled", settled, "outstanding", outstanding, "own_unspent", ownUnspent)
 }
 
 // finishLedgerUpdate ends an update and continues the requests that wait for
@@ -441,6 +450,7 @@
 // failLedgerUpdate ends an update that failed, as when the platform did not
 // answer; its operations stay open and are repeated after a backoff.
 func (n *Node) failLedgerUpdate(s *ledgerShard) {
+	n.logChange("ledger update failed", "shard", s.name, "took", n.now-s.startedAt, "conflicts", s.conflicts+s.objectConflicts, "bytes", s.bytes, "failures", s.failures+1)
 	s.inFlight, s.known, s.conflicts, s.objectConflicts = false, false, 0, 0
 	s.retryAt = n.now + n.backoff(s.failures)
 	s.failures++
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -18,6 +18,7 @@
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/node"
+	"plantainfield.example/fleet/callstats"
 	"plantainfield.example/fleet/datagram"
 	"plantainfield.example/fleet/gateway"
 	"plantainfield.example/fleet/peers"
@@ -50,6 +51,8 @@
 	AttemptIDHeader string
 	Protocol        gateway.Protocol
 	PlatformClient  runtime.PlatformClient
+	// PlatformCalls counts the calls to the platform.
+	PlatformCalls *callstats.Recorder
 	// BackgroundTasks returns the tasks that follow the platform's state, given
 	// the loop and the entry of this instance.
 	BackgroundTasks func(loop *runtime.Loop, self event.Instance) []func(context.Context)
@@ -150,6 +153,7 @@
 			workers.Go(func() {
 				p.Loop.ServePlatform(ctx, p.Adapter.PlatformClient, p.Adapter.Settings.Platform.FleetCallsPerSecond)
 			})
+			workers.Go(func() { p.Adapter.PlatformCalls.LogEvery(ctx, callLogPeriod, p.Log) })
 			workers.Go(func() { p.Datagrams.Run(ctx) })
 			workers.Go(func() { p.Sender.Run(ctx, p.Loop.PeerMessages()) })
 			for _, task := range p.Adapter.BackgroundTasks(p.Loop, p.Adapter.Self) {
@@ -168,6 +172,10 @@
 	})
 }
 
+// callLogPeriod is the time between two log lines with the calls to the
+// platform.
+const callLogPeriod = 10 * time.Second
+
 // hostedStopMargin is the part of the grace period that remains for closing the
 // listeners after the core has stopped.
 const hostedStopMargin = 1500 * time.Millisecond
--- a/fleet/daemon/metrics.go
+++ b/fleet/daemon/metrics.go
@@ -77,7 +77,7 @@
 // hostedRegistry returns the metrics registry of an instance on a platform.
 func hostedRegistry(p hostedParams) *prometheus.Registry {
 	r := prometheus.NewRegistry()
-	r.MustRegister(newCollector(p.Loop, p.Gateway), collectors.NewGoCollector())
+	r.MustRegister(newCollector(p.Loop, p.Gateway), collectors.NewGoCollector(), p.Adapter.PlatformCalls)
 	r.MustRegister(p.Gateway.Collectors()...)
 	return r
 }
