--- a/core/node/budget_scenarios_test.go
+++ b/core/node/budget_scenarios_test.go
@@ -114,7 +114,7 @@
 			for seed := range uint64(1) {
 				policy := spreadPolicy()
 				policy.Policy = name
-				s := newBudgetSimulation(seed, policy, 2_250_000)
+				s := newBudgetSimulation(seed, policy, smallFleet(2_250_000))
 				runOutagesAndKill(s)
 				a := s.audit()
 				t.Logf("%s, seed %d: %v", name, seed, a)
@@ -133,7 +133,7 @@
 // high load.
 func TestBudgetsHoldUnderRandomFaults(t *testing.T) {
 	for seed := range uint64(8) {
-		s := newBudgetSimulation(seed, spreadPolicy(), 500_000)
+		s := newBudgetSimulation(seed, spreadPolicy(), smallFleet(500_000))
 		for s.now < 20*time.Second {
 			s.injectFault()
 			s.runUntil(s.now + time.Duration(s.rng.Int64N(int64(2*time.Second))))
@@ -146,7 +146,7 @@
 
 // injectFault applies one random fault or load change.
 func (s *budgetSimulation) injectFault() {
-	customer := customerName(s.rng.IntN(simulatedCustomers))
+	customer := customerName(s.rng.IntN(s.fleet.customers))
 	in := s.nodes[s.rng.IntN(len(s.nodes))]
 	switch s.rng.IntN(8) {
 	case 0:
@@ -173,13 +173,13 @@
 // contendForTokens runs two seconds in which all instances repeatedly need more
 // tokens from the ledger.
 func contendForTokens(s *budgetSimulation) {
-	for c := range simulatedCustomers {
+	for c := range s.fleet.customers {
 		s.loadFactor[customerName(c)] = 0 // no other load
 	}
 	s.runUntil(2 * time.Second)
 	for s.now < 4*time.Second {
 		for _, in := range s.nodes {
-			s.send(in, customerName(s.rng.IntN(simulatedCustomers)), 30_000)
+			s.send(in, customerName(s.rng.IntN(s.fleet.customers)), 30_000)
 		}
 		s.runUntil(s.now + 40*time.Millisecond)
 	}
@@ -192,10 +192,10 @@
 	Convey("Requests that need tokens of the ledger at all instances at once are not refused", t, func() {
 		refused, writes := 0, 0
 		for seed := range uint64(10) {
-			s := newBudgetSimulation(seed, spreadPolicy(), 100_000_000)
+			s := newBudgetSimulation(seed, spreadPolicy(), smallFleet(100_000_000))
 			contendForTokens(s)
 			a := s.audit()
-			So(a.Requests, ShouldEqual, 50*simulatedInstances)
+			So(a.Requests, ShouldEqual, 50*s.fleet.instances)
 			refused += a.GuaranteedRefused
 			if a.GuaranteedRefused > 0 {
 				for _, r := range s.requests {
--- a/core/node/budget_simulation_test.go
+++ b/core/node/budget_simulation_test.go
@@ -13,14 +13,27 @@
 	"plantainfield.example/core/event"
 )
 
-// The load of a budget simulation: customers of different sizes whose requests
-// reach all instances, on a platform that holds one ledger object.
+// simulatedFleet is the size of a budget simulation: customers of different
+// sizes whose requests reach the instances that the fleet names to callers, on a
+// platform that holds one ledger object.
+type simulatedFleet struct {
+	instances, customers int
+	// prepaid is the budget of the largest customer, in tokens, and
+	// requestInterval the mean time between two of its requests. The k-th has
+	// 1/k of the budget and sends 1/k as often.
+	prepaid         int64
+	requestInterval time.Duration
+	// linkBytesPerSecond is the bandwidth of an instance's link to the platform
+	// in each direction; nil for no limit.
+	linkBytesPerSecond func(instance int) int64
+}
+
+// smallFleet is eight instances and six customers.
+func smallFleet(prepaid int64) simulatedFleet {
+	return simulatedFleet{instances: 8, customers: 6, prepaid: prepaid, requestInterval: 40 * time.Millisecond}
+}
+
 const (
-	simulatedInstances = 8
-	simulatedCustomers = 6
-	// requestInterval is the mean time between two requests of the largest
-	// customer; the k-th sends 1/k as often.
-	requestInterval = 40 * time.Millisecond
 	// linkDelayRange is the width of the range, from 1 ms on, in which the
 	// one-way delay of a message lies.
 	linkDelayRange = 3 * time.Millisecond
@@ -59,6 +72,7 @@
 	order   int
 	queue   eventHeap
 	rng     *rand.Rand
+	fleet   simulatedFleet
 	policy  config.GrantPolicy
 	store   event.Object
 	version int
@@ -80,6 +94,10 @@
 	handle  uint64
 	// loadFactor multiplies the request rate of a customer; 0 stops its requests.
 	loadFactor map[string]float64
+	// named are the addresses that callers were last told, and namedUntil is when
+	// they ask again.
+	named      []string
+	namedUntil time.Duration
 }
 
 // simulatedNode is one incarnation of an instance.
@@ -88,6 +106,10 @@
 	incarnation int
 	node        *Node
 	dead        bool
+	// bytesPerSecond is the bandwidth of the link, or 0 for no limit; sendsUntil
+	// and receivesUntil are when it has carried what is in transit.
+	bytesPerSecond            int64
+	sendsUntil, receivesUntil time.Duration
 	// open are the requests that this incarnation serves, by handle.
 	open map[uint64]*simulatedRequest
 }
@@ -108,20 +130,25 @@
 	delivered  int64
 }
 
-func newBudgetSimulation(seed uint64, grants config.GrantPolicy, prepaid int64) *budgetSimulation {
+func newBudgetSimulation(seed uint64, grants config.GrantPolicy, fleet simulatedFleet) *budgetSimulation {
 	s := &budgetSimulation{
-		rng: rand.New(rand.NewPCG(seed, 1)), policy: grants, cut: map[string]bool{},
+		rng: rand.New(rand.NewPCG(seed, 1)), policy: grants, fleet: fleet, cut: map[string]bool{},
 		totals: map[string]int64{}, maxTotals: map[string]int64{}, loadFactor: map[string]float64{},
 		recent: map[string][]*simulatedRequest{}, settled: map[string]int64{},
 	}
-	for c := range simulatedCustomers {
-		s.totals[customerName(c)] = prepaid / int64(c+1)
+	for c := range fleet.customers {
+		s.totals[customerName(c)] = fleet.prepaid / int64(c+1)
 	}
-	for i := range simulatedInstances {
+	for i := range fleet.instances {
 		s.nodes = append(s.nodes, &simulatedNode{name: fmt.Sprintf("n%d", i), dead: true})
+		if fleet.linkBytesPerSecond != nil {
+			s.nodes[i].bytesPerSecond = fleet.linkBytesPerSecond(i)
+		}
+	}
+	for i := range fleet.instances {
 		s.start(s.nodes[i])
 	}
-	for c := range simulatedCustomers {
+	for c := range fleet.customers {
 		s.loadFactor[customerName(c)] = 1
 		s.nextRequest(c)
 	}
@@ -155,7 +182,8 @@
 	p.Grants = s.policy
 	p.Routing.Policy = config.RoutingLeastWork
 	p.Limits.Policy = config.LimitFixed
-	in := &simulatedNode{name: old.name, incarnation: old.incarnation + 1, open: map[uint64]*simulatedRequest{}}
+	p.Addresses = config.AddressPolicy{TTLSeconds: 1}
+	in := &simulatedNode{name: old.name, incarnation: old.incarnation + 1, bytesPerSecond: old.bytesPerSecond, open: map[uint64]*simulatedRequest{}}
 	in.node = New(Settings{
 		Name: in.name, Incarnation: fmt.Sprint(in.incarnation), DataCentre: "dc", LedgerShards: 1, Policies: p, Self: s.entry(in.name),
 		Disabled: Features{Bills: true, BegunRecords: true, ConfigurationStore: true, TargetReports: true, QuarantineClaims: true},
@@ -186,7 +214,7 @@
 
 // configure sends an instance the totals in force.
 func (s *budgetSimulation) configure(in *simulatedNode) {
-	stored := config.Stored{Generation: s.generation + 1, Routing: &config.Routing{Targets: []config.TargetClass{{Service: "app", MaxConnections: 4000}}}}
+	stored := config.Stored{Generation: s.generation + 1, Routing: &config.Routing{Targets: []config.TargetClass{{Service: "app", MaxConnections: 500 * int64(s.fleet.instances)}}}}
 	for _, name := range sortedKeys(s.totals) {
 		stored.Document.Budgets = append(stored.Document.Budgets, config.Budget{Name: name, Customer: name, PrepaidTokens: s.totals[name]})
 		s.maxTotals[name] = max(s.maxTotals[name], s.totals[name])
@@ -227,7 +255,7 @@
 		switch {
 		case a.PlatformCall != nil:
 			call := *a.PlatformCall
-			s.schedule(s.linkDelay(), func() { s.deliverToPlatform(in, call) })
+			s.schedule(s.linkDelay()+s.occupyLink(in, &in.sendsUntil, len(call.Object.Value)), func() { s.deliverToPlatform(in, call) })
 		case a.SendPeer != nil:
 			m := *a.SendPeer
 			s.schedule(s.linkDelay(), func() { s.deliverToPeer(in, m) })
@@ -238,10 +266,22 @@
 			delete(in.open, a.Refuse.Request)
 			r.refused = a.Refuse.Kind
 			s.end(r, 0)
+		case a.AnswerAddresses != nil:
+			s.named = a.AnswerAddresses.Addresses
 		}
 	}
 }
 
+// occupyLink returns how long an instance's link takes until it has carried a
+// number of bytes after those that are in transit in the same direction.
+func (s *budgetSimulation) occupyLink(in *simulatedNode, until *time.Duration, bytes int) time.Duration {
+	if in.bytesPerSecond == 0 {
+		return 0
+	}
+	*until = max(*until, s.now) + time.Duration(bytes)*time.Second/time.Duration(in.bytesPerSecond)
+	return *until - s.now
+}
+
 // maxWriteDelay is the longest delay after which a write without a result takes
 // effect.
 const maxWriteDelay = 6 * time.Second
@@ -261,7 +301,7 @@
 		return
 	}
 	r := s.platformCall(call)
-	s.schedule(s.linkDelay(), func() {
+	s.schedule(s.linkDelay()+s.occupyLink(in, &in.receivesUntil, len(r.Object.Value)), func() {
 		if s.cut[in.name] {
 			r = event.PlatformResult{Call: call.Call, Status: event.PlatformUnknown}
 		}
@@ -326,15 +366,31 @@
 // nextRequest schedules the next request of a customer.
 func (s *budgetSimulation) nextRequest(customer int) {
 	name := customerName(customer)
-	mean := float64(requestInterval) * float64(customer+1) / max(s.loadFactor[name], 1)
+	mean := float64(s.fleet.requestInterval) * float64(customer+1) / max(s.loadFactor[name], 1)
 	s.schedule(time.Duration(s.rng.ExpFloat64()*mean), func() {
 		if s.loadFactor[name] > 0 {
-			s.send(s.nodes[s.rng.IntN(len(s.nodes))], name, s.randomSize())
+			s.send(s.chooseInstance(), name, s.randomSize())
 		}
 		s.nextRequest(customer)
 	})
 }
 
+// addressLifetime is how long callers keep the addresses that they were told.
+const addressLifetime = time.Second
+
+// chooseInstance returns a random instance of those that callers are told.
+func (s *budgetSimulation) chooseInstance() *simulatedNode {
+	if s.now >= s.namedUntil {
+		s.namedUntil = s.now + addressLifetime
+		s.step(s.nodes[s.rng.IntN(len(s.nodes))], event.Event{AddressesRequested: &event.AddressesRequested{Query: 1}})
+	}
+	if len(s.named) == 0 {
+		return s.nodes[s.rng.IntN(len(s.nodes))]
+	}
+	address := s.named[s.rng.IntN(len(s.named))]
+	return s.nodes[slices.IndexFunc(s.nodes, func(in *simulatedNode) bool { return s.entry(in.name).Address == address })]
+}
+
 // randomSize draws the worst-case tokens of a request: mostly few, one time in
 // twenty many.
 func (s *budgetSimulation) randomSize() int64 {
--- /dev/null
+++ b/core/node/largefleet_test.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"plantainfield.example/core/ledger"
+)
+
+// Bandwidths of links in bytes per second: 200 and 10 Mbit/s.
+const (
+	wideLink   = 25_000_000
+	narrowLink = 1_250_000
+)
+
+// largeFleet is a fleet in which one instance in ten has a wide link to the
+// platform. Its callers send about 460 requests a second whatever its size.
+func largeFleet(instances int) simulatedFleet {
+	return simulatedFleet{
+		instances: instances, customers: 24, prepaid: 16_000_000, requestInterval: 8200 * time.Microsecond,
+		linkBytesPerSecond: func(i int) int64 {
+			if i%10 == 0 {
+				return wideLink
+			}
+			return narrowLink
+		},
+	}
+}
+
+const (
+	// rampUp is the time before the first request of a large fleet, servingTime
+	// that in which it is measured.
+	rampUp      = 3 * time.Second
+	servingTime = 8 * time.Second
+)
+
+// fleetCost is what a fleet without faults does in servingTime.
+type fleetCost struct {
+	audit       budgetAudit
+	objectBytes int
+	grants      int
+}
+
+// runLargeFleet runs a fleet without faults.
+func runLargeFleet(seed uint64, fleet simulatedFleet) fleetCost {
+	s := newBudgetSimulation(seed, spreadPolicy(), fleet)
+	for c := range fleet.customers {
+		s.loadFactor[customerName(c)] = 0
+	}
+	s.runUntil(rampUp)
+	for c := range fleet.customers {
+		s.loadFactor[customerName(c)] = 1
+	}
+	s.runUntil(rampUp + servingTime)
+	cost := fleetCost{audit: s.audit(), objectBytes: len(s.store.Value)}
+	if shard, err := ledger.Decode(s.store.Value); err == nil {
+		for _, b := range shard.Budgets {
+			cost.grants += len(b.Grants)
+		}
+	}
+	return cost
+}
+
+func TestLargeFleetRefusesNoCoveredRequest(t *testing.T) {
+	// Guards against a cost of the budgets that grows with the number of instances.
+	Convey("A fleet of any size without faults refuses no request that its budget covers", t, func() {
+		for _, instances := range []int{10, 30, 90} {
+			for seed := range uint64(2) {
+				c := runLargeFleet(seed, largeFleet(instances))
+				t.Logf("%d instances, seed %d: %v, object of %d bytes with %d grants", instances, seed, c.audit, c.objectBytes, c.grants)
+				So(c.audit.Overspent, ShouldEqual, 0)
+				So(c.audit.GuaranteedRefused, ShouldEqual, 0)
+			}
+		}
+	})
+}
