Direct callers to as many instances as the load needs

What callers saw: on a fleet of 86 instances a quarter of the requests was refused as budget_unavailable, also without any fault.

Cause: each instance held a grant of each customer, so the ledger object and the number of its writers grew with the fleet, and each grant shrank below a large request. The callers' requests would need a tenth of the instances.

core/serving chooses the smallest number of instances for which an equal share of the demand is within the capacity of each, those with the largest share of a processor first, with some to spare. Callers are told these addresses, and only these instances draw tokens ahead; others hold what their own callers use. The demand is measured by each instance and travels in the load messages, which go to instances with work first and are split to fit into a datagram. All other deployments and the product's own interface are as before: up to twelve instances, or without the policy, all serve.

--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -41,8 +41,11 @@
 	// together have, in tokens.
 	Unspent     int64
 	Outstanding int64
-	// Instances is the number of live instances.
+	// Instances is the number of instances that hold grants in advance.
 	Instances int64
+	// OnDemand is set if this instance is none of them: callers are not directed
+	// to it.
+	OnDemand bool
 	// Excess is the amount granted beyond a total that has been lowered, in
 	// tokens.
 	Excess int64
@@ -65,8 +68,11 @@
 		if s.Stopping {
 			return 0
 		}
-		runway := int64(a.steady.at(now) * float64(s.Policy.RunwaySeconds))
-		return min(max(s.Policy.SizeTokens, runway), s.spreadable()/max(1, s.Instances))
+		wanted := int64(a.steady.at(now) * float64(s.Policy.RunwaySeconds))
+		if !s.OnDemand {
+			wanted = max(wanted, s.Policy.SizeTokens)
+		}
+		return min(wanted, s.spreadable()/max(1, s.Instances))
 	default:
 		runway := int64(a.rate.at(now) * float64(s.Policy.RunwaySeconds))
 		share := (s.LedgerAvailable + a.Available()) * s.Policy.MaxSharePerMille / perMille
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -199,6 +199,11 @@
 	// PerCustomer is the number of instances that a customer's callers are
 	// directed to; 0 for all.
 	PerCustomer int64 `json:"perCustomer" min:"0" max:"1000"`
+	// RequestsPerProcessor is the number of callers' requests per second for
+	// which one whole processor of an instance is sized. Callers are directed to
+	// as many instances as their requests need, those with the largest share of a
+	// processor first; 0 directs them to all.
+	RequestsPerProcessor int64 `json:"requestsPerProcessor,omitempty" min:"0" max:"1000000"`
 	// TTLSeconds is how long a caller may keep the answer, in seconds.
 	TTLSeconds int64 `json:"ttlSeconds" min:"1" max:"3600"`
 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -274,6 +274,9 @@
 	// Incarnation is the incarnation of the router that wrote the entry, or
 	// empty.
 	Incarnation string `json:"incarnation,omitempty"`
+	// ProcessorMillis is a router's share of a processor, in thousandths; 0 if
+	// unknown.
+	ProcessorMillis int64 `json:"processorMillis,omitempty"`
 	// StartMillis is when the target started, as a Unix time in milliseconds;
 	// it distinguishes two targets that ran under one name one after the other.
 	// 0 if unknown.
--- a/core/event/peer.go
+++ b/core/event/peer.go
@@ -34,9 +34,16 @@
 	Loads           *Loads           `json:"loads,omitempty"`
 }
 
-// Loads informs a peer of what the sender has in flight at targets.
+// Loads informs a peer of what the sender has in flight at targets. A sender
+// with work at many targets sends it in several parts, each a message.
 type Loads struct {
 	Targets []TargetLoad `json:"t,omitempty"`
+	// Part is the number of this part, from 0, and Parts how many there are, or 0
+	// for one.
+	Part  int `json:"p,omitempty"`
+	Parts int `json:"s,omitempty"`
+	// Requests is the rate of callers' requests at the sender, per second.
+	Requests float64 `json:"q,omitempty"`
 }
 
 // TargetLoad is one instance's load at a target. Its JSON names are short
--- a/core/node/budget_simulation_test.go
+++ b/core/node/budget_simulation_test.go
@@ -26,6 +26,9 @@
 	// linkBytesPerSecond is the bandwidth of an instance's link to the platform
 	// in each direction; nil for no limit.
 	linkBytesPerSecond func(instance int) int64
+	// processors is an instance's share of a processor, in thousandths; nil if
+	// instances don't state it. Only then they tell each other their load.
+	processors func(instance int) int64
 }
 
 // smallFleet is eight instances and six customers.
@@ -183,6 +186,9 @@
 	p.Routing.Policy = config.RoutingLeastWork
 	p.Limits.Policy = config.LimitFixed
 	p.Addresses = config.AddressPolicy{TTLSeconds: 1}
+	if s.fleet.processors != nil {
+		p.Addresses.RequestsPerProcessor = simulatedRequestsPerProcessor
+	}
 	in := &simulatedNode{name: old.name, incarnation: old.incarnation + 1, bytesPerSecond: old.bytesPerSecond, open: map[uint64]*simulatedRequest{}}
 	in.node = New(Settings{
 		Name: in.name, Incarnation: fmt.Sprint(in.incarnation), DataCentre: "dc", LedgerShards: 1, Policies: p, Self: s.entry(in.name),
@@ -199,9 +205,17 @@
 }
 
 func (s *budgetSimulation) entry(name string) event.Instance {
-	return event.Instance{Name: name, Role: event.RoleRouter, Address: name + ":1", PeerAddress: name + ":2", State: event.StateLive}
+	in := event.Instance{Name: name, Role: event.RoleRouter, Address: name + ":1", PeerAddress: name + ":2", State: event.StateLive}
+	if s.fleet.processors != nil {
+		index := slices.IndexFunc(s.nodes, func(n *simulatedNode) bool { return n.name == name })
+		in.DatagramAddress, in.ProcessorMillis = name+":3", s.fleet.processors(index)
+	}
+	return in
 }
 
+// simulatedRequestsPerProcessor is that of the hosted daemon.
+const simulatedRequestsPerProcessor = 180
+
 // hostedTickPeriod is the tick period of the hosted daemon.
 const hostedTickPeriod = 25 * time.Millisecond
 
--- a/core/node/largefleet_test.go
+++ b/core/node/largefleet_test.go
@@ -26,6 +26,12 @@
 			}
 			return narrowLink
 		},
+		processors: func(i int) int64 {
+			if i%10 == 0 {
+				return 800
+			}
+			return 192
+		},
 	}
 }
 
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -169,10 +169,11 @@
 	return n.refillPeriod()
 }
 
-// prefetch creates the accounts of all budgets of a shard under the grant
-// policy that holds tokens before requests need them.
+// prefetch creates the accounts of all budgets of a shard, at an instance that
+// serves callers, under the grant policy that holds tokens before requests need
+// them.
 func (n *Node) prefetch(s *ledgerShard) {
-	if n.stopping || n.configs.index.Document.Policies.Grants.Policy != config.GrantSpread {
+	if n.stopping || n.configs.index.Document.Policies.Grants.Policy != config.GrantSpread || !n.servesCallers() {
 		return
 	}
 	for i := range n.configs.index.Document.Budgets {
@@ -217,7 +218,7 @@
 
 func (n *Node) sizing(s *ledgerShard, name string) budget.Sizing {
 	sz := budget.Sizing{
-		Policy: n.configs.index.Document.Policies.Grants, Instances: n.liveInstances(),
+		Policy: n.configs.index.Document.Policies.Grants, Instances: n.servingInstances(), OnDemand: !n.servesCallers(),
 		Waiting: n.waitsForTokens(name), Stopping: n.stopping,
 	}
 	if b := n.configs.index.Budget(name); b != nil {
--- a/core/node/loads.go
+++ b/core/node/loads.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"plantainfield.example/core/config"
@@ -14,8 +16,13 @@
 	// takes to prefill a typical prompt.
 	loadPeriod = 200 * time.Millisecond
 	// maxLoadPeers bounds the receivers of one load message. In a larger fleet
-	// each message goes to randomly chosen peers, and the sums are scaled up.
-	maxLoadPeers = 12
+	// most of them are peers with work of their own, which choose targets too,
+	// and otherLoadPeers are any.
+	maxLoadPeers   = 12
+	otherLoadPeers = 3
+	// maxLoadTargets is the number of targets in one part of a load message, so
+	// that it fits into a datagram.
+	maxLoadTargets = 24
 	// loadTimeout is the age at which a peer's load message is no longer used.
 	loadTimeout = 1500 * time.Millisecond
 )
@@ -23,8 +30,16 @@
 // peerLoads is the work of one peer at each target.
 type peerLoads struct {
 	// at is when the last load message arrived; 0 before the first.
-	at      time.Duration
-	targets map[string]placement.Work
+	at time.Duration
+	// parts is the work by target, in the parts in which it was sent.
+	parts []map[string]placement.Work
+	// requests is the rate of callers' requests at the peer, per second.
+	requests float64
+}
+
+// idle reports whether the peer said that it has no work.
+func (l *peerLoads) idle() bool {
+	return !slices.ContainsFunc(l.parts, func(part map[string]placement.Work) bool { return len(part) > 0 })
 }
 
 // sharesLoads reports whether instances send each other load messages.
@@ -38,54 +53,120 @@
 		return
 	}
 	n.members.nextLoads = n.now + loadPeriod
-	m := &event.Loads{}
+	var targets []event.TargetLoad
 	for _, name := range n.members.targetNames() {
 		if t := n.members.targets[name]; t.inFlight > 0 {
-			m.Targets = append(m.Targets, event.TargetLoad{Target: name, PrefillTokens: t.prefillTokens, Running: t.inFlight})
+			targets = append(targets, event.TargetLoad{Target: name, PrefillTokens: t.prefillTokens, Running: t.inFlight})
 		}
 	}
-	if len(m.Targets) == 0 && n.members.lastLoadsEmpty {
+	if len(targets) == 0 && n.members.lastLoadsEmpty {
 		return
 	}
-	n.members.lastLoadsEmpty = len(m.Targets) == 0
-	for _, name := range n.randomPeers(maxLoadPeers) {
-		if p := n.members.peers[name]; n.live(p) && p.DatagramAddress != "" {
+	n.members.lastLoadsEmpty = len(targets) == 0
+	messages := n.loadMessages(targets)
+	for _, name := range n.loadReceivers() {
+		p := n.members.peers[name]
+		if !n.live(p) || p.DatagramAddress == "" {
+			continue
+		}
+		for _, m := range messages {
 			n.emit(event.Action{SendPeer: &event.SendPeer{To: name, Address: p.DatagramAddress, Message: event.PeerMessage{Loads: m}, Datagram: true}})
 		}
 	}
 }
 
+// loadMessages splits this instance's work at targets into messages.
+func (n *Node) loadMessages(targets []event.TargetLoad) []*event.Loads {
+	requests := n.members.demand.own.at(n.now)
+	if len(targets) <= maxLoadTargets {
+		return []*event.Loads{{Targets: targets, Requests: requests}}
+	}
+	var messages []*event.Loads
+	for part := range slices.Chunk(targets, maxLoadTargets) {
+		messages = append(messages, &event.Loads{Targets: part, Part: len(messages), Requests: requests})
+	}
+	for _, m := range messages {
+		m.Parts = len(messages)
+	}
+	return messages
+}
+
+// loadReceivers returns the names of the peers that get the next load message.
+func (n *Node) loadReceivers() []string {
+	names := n.randomPeers(len(n.members.peers))
+	if len(names) <= maxLoadPeers {
+		return names
+	}
+	slices.SortStableFunc(names, func(a, b string) int {
+		return cmp.Compare(n.workingRank(a), n.workingRank(b))
+	})
+	working := 0
+	for working < maxLoadPeers-otherLoadPeers && n.workingRank(names[working]) == 0 {
+		working++
+	}
+	rest := names[working:]
+	n.rng.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	return names[:maxLoadPeers]
+}
+
+// workingRank is 0 for a peer that recently had work, and 1 for others.
+func (n *Node) workingRank(name string) int {
+	if l := &n.members.peers[name].loads; l.at > 0 && n.now-l.at < demandTimeout && !l.idle() {
+		return 0
+	}
+	return 1
+}
+
 // loadsReceived stores a peer's work at targets.
 func (n *Node) loadsReceived(p *peer, m *event.Loads) {
-	p.loads = peerLoads{at: n.now, targets: make(map[string]placement.Work, len(m.Targets))}
+	work := make(map[string]placement.Work, len(m.Targets))
 	for _, t := range m.Targets {
-		p.loads.targets[t.Target] = placement.Work{PrefillTokens: t.PrefillTokens, Running: t.Running}
+		work[t.Target] = placement.Work{PrefillTokens: t.PrefillTokens, Running: t.Running}
 	}
+	parts := max(1, m.Parts)
+	if m.Part < 0 || m.Part >= parts || parts > maxLoadParts {
+		n.logChange("load message refused", "peer", p.Name, "part", m.Part, "parts", m.Parts)
+		return
+	}
+	if len(p.loads.parts) != parts {
+		p.loads.parts = make([]map[string]placement.Work, parts)
+	}
+	p.loads.at, p.loads.requests = n.now, m.Requests
+	p.loads.parts[m.Part] = work
 }
 
+// maxLoadParts is the largest accepted number of parts of a load message.
+const maxLoadParts = 1000
+
 // peerWork returns the sum of the live peers' work by target. If there are more
 // live peers than a load message reaches, it extrapolates from those with a
-// recent message.
+// recent message to all that recently had work.
 func (n *Node) peerWork() map[string]placement.Work {
 	sum := map[string]placement.Work{}
-	reporting, live := 0, 0
+	reporting, working, live := 0, 0, 0
 	for _, name := range n.members.peerNames() {
 		p := n.members.peers[name]
 		if !n.live(p) {
 			continue
 		}
 		live++
-		if p.loads.at == 0 || n.now-p.loads.at >= loadTimeout {
+		if n.workingRank(name) > 0 {
+			continue
+		}
+		working++
+		if n.now-p.loads.at >= loadTimeout {
 			continue
 		}
 		reporting++
-		for target, w := range p.loads.targets {
-			sum[target] = sum[target].Add(w)
+		for _, part := range p.loads.parts {
+			for target, w := range part {
+				sum[target] = sum[target].Add(w)
+			}
 		}
 	}
 	if reporting > 0 && live > maxLoadPeers {
 		for target, w := range sum {
-			sum[target] = placement.Work{PrefillTokens: w.PrefillTokens * int64(live) / int64(reporting), Running: w.Running * live / reporting}
+			sum[target] = placement.Work{PrefillTokens: w.PrefillTokens * int64(working) / int64(reporting), Running: w.Running * working / reporting}
 		}
 	}
 	return sum
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -71,6 +71,10 @@
 	// the last one contained no work.
 	nextLoads      time.Duration
 	lastLoadsEmpty bool
+	// demand is the rate of callers' requests, serving the instances that serve
+	// them as last chosen.
+	demand  demandState
+	serving servingState
 	// longPromptAt is when each service last got a long prompt here.
 	longPromptAt map[string]time.Duration
 	// lastAddressCount is the number of addresses in the last answer to a caller.
@@ -262,30 +266,22 @@
 	return n.now-max(n.members.lastHeard, n.resumedAt) >= isolationTimeout
 }
 
-// addressesRequested answers with the addresses of the instances that may serve
+// addressesRequested answers with the addresses of the instances that serve
 // callers, ordered by the rendezvous hash of the customer and the instance so
 // that a customer's callers stay on few instances.
 func (n *Node) addressesRequested(q event.AddressesRequested) {
-	var live []event.Instance
-	if n.ready() && !n.stopping && n.members.self.Address != "" {
-		live = append(live, n.members.self)
-	}
-	for _, name := range n.members.peerNames() {
-		if p := n.members.peers[name]; n.live(p) || n.mayServe(p) {
-			live = append(live, p.Instance)
-		}
-	}
+	named := n.chooseServing()
 	rank := func(in event.Instance) uint64 { return xxhash.Sum64String(q.Customer + "\x00" + in.Name) }
-	slices.SortFunc(live, func(a, b event.Instance) int { return cmp.Compare(rank(b), rank(a)) })
+	slices.SortFunc(named, func(a, b event.Instance) int { return cmp.Compare(rank(b), rank(a)) })
 	answer := &event.AnswerAddresses{Query: q.Query, TTL: defaultAddressTTL}
 	if ix := n.configs.index; ix != nil {
 		p := ix.Document.Policies.Addresses
 		answer.TTL = time.Duration(p.TTLSeconds) * time.Second
-		if p.PerCustomer > 0 && int(p.PerCustomer) < len(live) {
-			live = live[:p.PerCustomer]
+		if p.PerCustomer > 0 && int(p.PerCustomer) < len(named) {
+			named = named[:p.PerCustomer]
 		}
 	}
-	for _, in := range live {
+	for _, in := range named {
 		answer.Addresses = append(answer.Addresses, in.Address)
 	}
 	n.logAddressCount(answer.Addresses)
@@ -296,7 +292,7 @@
 func (n *Node) logAddressCount(addresses []string) {
 	if len(addresses) != n.members.lastAddressCount {
 		n.members.lastAddressCount = len(addresses)
-		n.logChange("addresses changed", "named", len(addresses), "listed", n.fleetSize(), "since_peer_heard", n.now-n.members.lastHeard)
+		n.logChange("addresses changed", "named", len(addresses), "listed", n.fleetSize(), "requests_per_second", int64(n.members.demand.held), "since_peer_heard", n.now-n.members.lastHeard)
 	}
 }
 
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -133,6 +133,7 @@
 		return
 	}
 	n.requests.add(r)
+	n.members.demand.own.add()
 	n.reserveOrWait(r)
 }
 
--- /dev/null
+++ b/core/node/servinginstances_test.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"plantainfield.example/core/config"
+	"plantainfield.example/core/event"
+)
+
+// mixedFleet returns a hosted node in a fleet of itself, seven other instances
+// with a large share of a processor and seventy with a small one.
+func mixedFleet() (*hosted, []event.Instance) {
+	h := newHosted()
+	h.node.settings.Policies.Addresses = config.AddressPolicy{TTLSeconds: 1, RequestsPerProcessor: 180}
+	h.node.members.self.ProcessorMillis = 800
+	h.configure(2, 100_000)
+	var entries []event.Instance
+	for i := range 77 {
+		in := event.Instance{Name: fmt.Sprintf("n%d", i+2), Role: event.RoleRouter, State: event.StateLive, ProcessorMillis: 192}
+		in.Address, in.PeerAddress, in.DatagramAddress = in.Name+":1", in.Name+":2", in.Name+":3"
+		if i < 7 {
+			in.ProcessorMillis = 800
+		}
+		entries = append(entries, in)
+	}
+	h.list(false, entries...)
+	h.advance(100 * time.Millisecond)
+	return h, entries
+}
+
+// addresses returns the addresses that callers are told.
+func (h *hosted) addresses() []string {
+	for _, a := range h.step(event.Event{AddressesRequested: &event.AddressesRequested{Query: 1}}) {
+		if a.AnswerAddresses != nil {
+			return a.AnswerAddresses.Addresses
+		}
+	}
+	return nil
+}
+
+// hear delivers a message from a peer.
+func (h *hosted) hear(from string, m event.PeerMessage) {
+	h.step(event.Event{PeerReceived: &event.PeerReceived{From: from, Incarnation: "1", Message: m}})
+}
+
+func TestCallersAreDirectedToAsManyInstancesAsTheLoadNeeds(t *testing.T) {
+	Convey("Given a large fleet", t, func() {
+		h, entries := mixedFleet()
+		for _, in := range entries {
+			h.hear(in.Name, event.PeerMessage{Heartbeat: &event.Heartbeat{}})
+		}
+		Convey("a moderate load is directed to the instances with the largest share of a processor", func() {
+			So(h.addresses(), ShouldHaveLength, 8)
+			So(h.node.servesCallers(), ShouldBeTrue)
+			Convey("also by an instance that hears from no peer", func() {
+				before := h.addresses()
+				h.advance(20 * time.Second)
+				So(h.addresses(), ShouldResemble, before)
+			})
+		})
+		Convey("one that stops is no longer named", func() {
+			h.hear("n2", event.PeerMessage{Heartbeat: &event.Heartbeat{Stopping: true}})
+			So(h.addresses(), ShouldNotContain, "n2:1")
+			for _, in := range entries[7:] { // those with a small share
+				So(h.addresses(), ShouldNotContain, in.Address)
+			}
+		})
+		Convey("a load that the large ones can't carry is directed to more instances", func() {
+			for _, in := range entries[:7] {
+				h.hear(in.Name, event.PeerMessage{Loads: &event.Loads{Requests: 300}})
+			}
+			So(len(h.addresses()), ShouldBeGreaterThan, 40)
+			Convey("and to fewer again only after a while", func() {
+				for _, in := range entries[:7] {
+					h.hear(in.Name, event.PeerMessage{Loads: &event.Loads{}})
+				}
+				So(len(h.addresses()), ShouldBeGreaterThan, 40)
+			})
+		})
+	})
+}
+
+func TestLoadMessagesFitIntoDatagrams(t *testing.T) {
+	Convey("The work at many targets is sent in parts that fit into a datagram, and summed by the receiver", t, func() {
+		h, entries := mixedFleet()
+		var targets []event.TargetLoad
+		for i := range 100 {
+			targets = append(targets, event.TargetLoad{Target: fmt.Sprintf("i-%010d", i), PrefillTokens: 123_456, Running: 12})
+		}
+		messages := h.node.loadMessages(targets)
+		So(len(messages), ShouldBeGreaterThan, 1)
+		for _, m := range messages {
+			raw, err := json.Marshal(event.PeerMessage{Loads: m})
+			So(err, ShouldBeNil)
+			So(len(raw), ShouldBeLessThan, 1300)
+			h.hear(entries[0].Name, event.PeerMessage{Loads: m})
+		}
+		work := h.node.peerWork()
+		So(work, ShouldHaveLength, 100)
+		So(work["i-0000000099"].Running, ShouldEqual, 12)
+		Convey("a message with an impossible part is refused", func() {
+			for _, m := range []event.Loads{{Part: 3, Parts: 2}, {Part: -1}, {Parts: 1 << 30}} {
+				h.hear(entries[1].Name, event.PeerMessage{Loads: &m})
+			}
+			So(h.node.members.peers[entries[1].Name].loads.at, ShouldEqual, 0)
+		})
+	})
+}
--- a/fleet/daemon/hosted_policies.go
+++ b/fleet/daemon/hosted_policies.go
@@ -30,6 +30,9 @@
 	// retryDelayMillis is short because the next attempt goes to another
 	// target.
 	retryDelayMillis = 10
+	// requestsPerProcessor uses three quarters of a processor at the processor
+	// time that a request takes.
+	requestsPerProcessor = 180
 	// addressSeconds is how long callers may cache an address response. Some
 	// callers keep it three times as long; a stopping instance still serves
 	// requests for that time.
@@ -51,7 +54,9 @@
 	p.Retries.MaxAttempts = retryAttempts
 	p.Retries.BaseDelayMillis = retryDelayMillis
 	p.Limits.Policy = config.LimitFixed
-	p.Addresses = config.AddressPolicy{TTLSeconds: min(addressSeconds, max(1, int64(adapter.AddressTTL/time.Second)))}
+	p.Addresses = config.AddressPolicy{
+		TTLSeconds: min(addressSeconds, max(1, int64(adapter.AddressTTL/time.Second))), RequestsPerProcessor: requestsPerProcessor,
+	}
 	p.Quarantine.MaxTargets = quarantineTargets
 	p.Billing.WhenIsolated = config.IsolatedServe
 	return p
