Combine the ledger updates of many instances in one write

What callers saw: requests refused as budget_unavailable after 250 ms while the ledger had tokens.

Cause: every instance read and wrote the whole ledger object by itself, over its own link, against the writes of all others.

With policies.grants.combineUpdates, which the hosted daemon sets, instances send their open operations to one of them, which applies those of all in one write and answers each with a summary of its budgets. The writer is the live instance with the largest share of a processor; if it doesn't accept within 100 ms or can't reach the ledger, an instance writes itself and asks another one from then on. Nothing rests on there being one writer: operations are idempotent by their sequence number, and each write is conditional. Amounts in advance are limited again at the writer, as views may be older.

TestCombinedLedgerUpdates fails with the policy off (four writers).

--- a/core/config/document.go
+++ b/core/config/document.go
@@ -127,6 +127,10 @@
 	// RefillMillis is the minimum time between two ledger updates by one
 	// instance while no request waits for them, in milliseconds.
 	RefillMillis int64 `json:"refillMillis,omitempty" min:"0" max:"60000"`
+	// CombineUpdates makes instances send their ledger updates to one of them,
+	// which writes those of all that arrive at about the same time together. If it
+	// doesn't answer, an instance writes itself.
+	CombineUpdates bool `json:"combineUpdates,omitempty"`
 	// PeerTransfer allows instances to transfer parts of their grants to each
 	// other.
 	PeerTransfer bool `json:"peerTransfer"`
--- a/core/event/peer.go
+++ b/core/event/peer.go
@@ -1,5 +1,7 @@
 package event
 
+import "plantainfield.example/core/ledger"
+
 // PeerReceived is a message from another instance.
 type PeerReceived struct {
 	// From is the sender's name, Incarnation the sender's incarnation.
@@ -32,6 +34,48 @@
 	TransferRequest *TransferRequest `json:"transferRequest,omitempty"`
 	Transfer        *Transfer        `json:"transfer,omitempty"`
 	Loads           *Loads           `json:"loads,omitempty"`
+	LedgerRequest   *LedgerRequest   `json:"ledgerRequest,omitempty"`
+	LedgerReply     *LedgerReply     `json:"ledgerReply,omitempty"`
+}
+
+// LedgerRequest asks the writer of a ledger shard to apply the sender's
+// operations, together with those of others in one write. It is idempotent,
+// since the operations are.
+type LedgerRequest struct {
+	Shard int `json:"shard"`
+	// ID identifies the request among the sender's; replies carry it.
+	ID uint64 `json:"id"`
+	// Operations are the sender's open operations by budget. Without any, the
+	// request asks only for the state of Budgets.
+	Operations map[string]*ledger.Operation `json:"operations,omitempty"`
+	// Budgets are the names of the budgets whose state the sender needs.
+	Budgets []string `json:"budgets"`
+	// Urgent is set while requests of callers wait for the reply.
+	Urgent bool `json:"urgent,omitempty"`
+}
+
+// LedgerStatus is the state of a LedgerRequest.
+type LedgerStatus string
+
+const (
+	// LedgerAccepted means that the request waits for the next write.
+	LedgerAccepted LedgerStatus = "accepted"
+	// LedgerApplied means that the operations have taken effect.
+	LedgerApplied LedgerStatus = "applied"
+	// LedgerFailed means that the writer can't reach the ledger; the operations
+	// may take effect nevertheless.
+	LedgerFailed LedgerStatus = "failed"
+)
+
+// LedgerReply answers a LedgerRequest, first as accepted and later with its
+// result.
+type LedgerReply struct {
+	Shard  int          `json:"shard"`
+	ID     uint64       `json:"id"`
+	Status LedgerStatus `json:"status"`
+	// Budgets are the summaries of the requested budgets for the receiver, after
+	// its operations took effect. A budget that the ledger doesn't have is absent.
+	Budgets map[string]*ledger.Budget `json:"budgets,omitempty"`
 }
 
 // Loads informs a peer of what the sender has in flight at targets. A sender
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -216,3 +216,32 @@
 	}
 	return nil
 }
+
+// Others is the holder under which a summary lists the grants of all holders
+// that it doesn't list by name.
+const Others Holder = ""
+
+// Summary returns the budget as far as one holder needs to know it: its own
+// grant, those that reported transfers to it, and the sum of the others as the
+// grant of Others. The amounts that are settled, outstanding and available are
+// those of the budget.
+func (b *Budget) Summary(self Holder) *Budget {
+	s := *b
+	s.Grants = map[Holder]*Grant{}
+	rest := &Grant{}
+	for h, g := range b.Grants {
+		switch {
+		case h == self || g.Sent[self] > 0:
+			s.Grants[h] = g.clone()
+		case g.Closed:
+			s.Settled += g.Granted
+		default:
+			rest.Granted += g.Granted
+			rest.Spent += g.Spent
+		}
+	}
+	if rest.Granted > 0 {
+		s.Grants[Others] = rest
+	}
+	return &s
+}
--- a/core/node/budget_simulation_test.go
+++ b/core/node/budget_simulation_test.go
@@ -79,10 +79,12 @@
 	policy  config.GrantPolicy
 	store   event.Object
 	version int
-	// writes and reads count the calls that reached the platform.
-	writes int
-	reads  int
-	nodes  []*simulatedNode
+	// writes and reads count the calls that reached the platform, conflicts the
+	// writes that were refused because another one came first.
+	writes    int
+	reads     int
+	conflicts int
+	nodes     []*simulatedNode
 	// cut holds the instances that can reach neither the platform nor peers.
 	cut        map[string]bool
 	generation uint64
@@ -337,6 +339,7 @@
 		}
 	case call.Object.Version != s.store.Version:
 		s.writes++
+		s.conflicts++
 		r.Status = event.PlatformConflict
 	default:
 		s.writes++
--- a/core/node/gonegrants.go
+++ b/core/node/gonegrants.go
@@ -57,20 +57,25 @@
 	if n.now < r.next {
 		return
 	}
-	r.next = n.now + max(refreshPeriod, refreshRefills*n.refillPeriod(), time.Duration(n.liveInstances())*refreshPerInstance)
+	r.next = n.now + n.refreshInterval()
 	count := len(n.ledgers.shards)
 	for i := range count {
 		s := n.ledgers.shards[(r.cursor+i)%count]
-		if s.inFlight || n.now < s.retryAt || !n.needsRefresh(s) {
+		if s.inFlight || n.now < s.retryAt || !n.needsRefresh(s) || s.summary && n.now-s.seenAt < n.refreshInterval() {
 			continue
 		}
 		r.cursor = (r.cursor + i + 1) % count
 		n.beginLedgerUpdate(s)
-		n.readLedger(s)
+		n.refreshView(s)
 		return
 	}
 }
 
+// refreshInterval is the time between two reads that only refresh the view.
+func (n *Node) refreshInterval() time.Duration {
+	return max(refreshPeriod, refreshRefills*n.refillPeriod(), time.Duration(n.liveInstances())*refreshPerInstance)
+}
+
 func (n *Node) needsRefresh(s *ledgerShard) bool {
 	if n.closesGrantsIn(s) {
 		return true
@@ -87,6 +92,9 @@
 // that are gone in a shard even when it has nothing else to write there. If two
 // instances assume so, both may try: the conditional update lets one succeed.
 func (n *Node) closesGrantsIn(s *ledgerShard) bool {
+	if n.combinesUpdates() {
+		return n.ledgerWriter(s) == n.settings.Name
+	}
 	rank := func(instance string) uint64 { return xxhash.Sum64String(s.name + "\x00" + instance) }
 	own := rank(n.settings.Name)
 	for _, name := range n.members.peerNames() {
--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -5,6 +5,7 @@
 
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/ledger"
 )
 
 // budgetWait is the state of a request that waits for tokens of its budget.
@@ -127,6 +128,11 @@
 	if b == nil || n.now-s.seenAt > maxHoldingsAge {
 		return false
 	}
+	if s.summary {
+		count := n.servingInstances() - 1
+		rest := b.Grants[ledger.Others]
+		return rest != nil && count > 0 && (rest.Granted-rest.Spent)/count >= minHoldingsRatio*r.WorstCaseTokens
+	}
 	canServe, others := 0, 0
 	for h, g := range b.Grants {
 		if h == n.holder || g.Closed {
--- a/core/node/largefleet_test.go
+++ b/core/node/largefleet_test.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"plantainfield.example/core/config"
 	"plantainfield.example/core/ledger"
 )
 
@@ -45,13 +47,14 @@
 // fleetCost is what a fleet without faults does in servingTime.
 type fleetCost struct {
 	audit       budgetAudit
+	conflicts   int
 	objectBytes int
 	grants      int
 }
 
 // runLargeFleet runs a fleet without faults.
-func runLargeFleet(seed uint64, fleet simulatedFleet) fleetCost {
-	s := newBudgetSimulation(seed, spreadPolicy(), fleet)
+func runLargeFleet(seed uint64, policy config.GrantPolicy, fleet simulatedFleet) fleetCost {
+	s := newBudgetSimulation(seed, policy, fleet)
 	for c := range fleet.customers {
 		s.loadFactor[customerName(c)] = 0
 	}
@@ -60,7 +63,7 @@
 		s.loadFactor[customerName(c)] = 1
 	}
 	s.runUntil(rampUp + servingTime)
-	cost := fleetCost{audit: s.audit(), objectBytes: len(s.store.Value)}
+	cost := fleetCost{audit: s.audit(), conflicts: s.conflicts, objectBytes: len(s.store.Value)}
 	if shard, err := ledger.Decode(s.store.Value); err == nil {
 		for _, b := range shard.Budgets {
 			cost.grants += len(b.Grants)
@@ -72,9 +75,9 @@
 func TestLargeFleetRefusesNoCoveredRequest(t *testing.T) {
 	// Guards against a cost of the budgets that grows with the number of instances.
 	Convey("A fleet of any size without faults refuses no request that its budget covers", t, func() {
-		for _, instances := range []int{10, 30, 90} {
+		for _, instances := range []int{10, 30, 90, 300} {
 			for seed := range uint64(2) {
-				c := runLargeFleet(seed, largeFleet(instances))
+				c := runLargeFleet(seed, spreadPolicy(), largeFleet(instances))
 				t.Logf("%d instances, seed %d: %v, object of %d bytes with %d grants", instances, seed, c.audit, c.objectBytes, c.grants)
 				So(c.audit.Overspent, ShouldEqual, 0)
 				So(c.audit.GuaranteedRefused, ShouldEqual, 0)
@@ -82,3 +85,30 @@
 		}
 	})
 }
+
+// BenchmarkLargeFleet measures what the budgets of a fleet without faults cost at
+// several sizes: with and without callers being directed to part of the
+// instances, and with and without combined updates.
+func BenchmarkLargeFleet(b *testing.B) {
+	for _, directed := range []bool{false, true} {
+		for _, combined := range []bool{false, true} {
+			for _, instances := range []int{10, 30, 90, 300} {
+				b.Run(fmt.Sprintf("directed=%v/combined=%v/instances=%d", directed, combined, instances), func(b *testing.B) {
+					fleet, policy := largeFleet(instances), spreadPolicy()
+					if !directed {
+						fleet.processors = nil
+					}
+					policy.CombineUpdates = combined
+					var c fleetCost
+					for b.Loop() {
+						c = runLargeFleet(1, policy, fleet)
+					}
+					b.ReportMetric(1000*float64(c.audit.GuaranteedRefused)/float64(c.audit.Guaranteed), "refused/1000")
+					b.ReportMetric(float64(c.audit.Writes+c.audit.Reads), "calls")
+					b.ReportMetric(float64(c.conflicts), "conflicts")
+					b.ReportMetric(float64(c.objectBytes), "object-bytes")
+				})
+			}
+		}
+	}
+}
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"plantainfield.example/core/budget"
@@ -45,15 +46,27 @@
 	seenAt               time.Duration
 	nextBackgroundUpdate time.Duration
 	nextUpdate           time.Duration
+	// summary is set while the view consists of summaries that a writer sent. It
+	// is good for decisions, but no base of a write: known is not set then.
+	summary bool
+	// delegation is the request to a writer that is in flight, or nil.
+	delegation *delegation
+	// remote are the requests of peers that this instance has accepted and not
+	// answered yet, in order of arrival.
+	remote []*remoteUpdate
 }
 
 type ledgerState struct {
 	shards  []*ledgerShard
 	refresh refreshState
+	// avoidedWriters holds, by name, until when a peer is not asked to write.
+	avoidedWriters map[string]time.Duration
+	// lastDelegation is the ID of the last request to a writer.
+	lastDelegation uint64
 }
 
 func newLedgerState(count int) ledgerState {
-	s := ledgerState{refresh: refreshState{idle: map[grantKey]idleSince{}}}
+	s := ledgerState{refresh: refreshState{idle: map[grantKey]idleSince{}}, avoidedWriters: map[string]time.Duration{}}
 	for i := range max(1, count) {
 		s.shards = append(s.shards, &ledgerShard{index: i, name: fmt.Sprintf("ledger-%05d", i), shard: &ledger.Shard{}})
 	}
@@ -85,7 +98,9 @@
 		case s.resumeAt > 0 && n.now >= s.resumeAt:
 			s.resumeAt, s.objectConflicts = 0, min(s.objectConflicts, 1)
 			n.readLedger(s)
-		case s.settle || s.failures > 0 || n.book.Dirty(s.index):
+		case s.delegation != nil && n.now >= s.delegation.timeout:
+			n.delegationTimedOut(s)
+		case s.settle || s.failures > 0 || n.book.Dirty(s.index) || n.remoteDue(s):
 			n.startLedgerUpdate(s)
 		}
 	}
@@ -95,7 +110,11 @@
 // startLedgerUpdate starts an update of a shard if one is due and none is in
 // flight. Waiting requests that an update can't help ask peers for tokens.
 func (n *Node) startLedgerUpdate(s *ledgerShard) {
-	if s.inFlight || n.configs.index == nil {
+	if s.inFlight {
+		n.expediteDelegation(s)
+		return
+	}
+	if n.configs.index == nil {
 		return
 	}
 	if n.now < s.retryAt {
@@ -105,25 +124,37 @@
 	if n.now < s.nextUpdate {
 		return
 	}
-	if n.now < s.nextBackgroundUpdate && len(n.waitingFor(s)) == 0 && (!n.stopping || n.requests.open() > 0) {
+	if n.now < s.nextBackgroundUpdate && len(n.waitingFor(s)) == 0 && !n.remoteDue(s) && (!n.stopping || n.requests.open() > 0) {
 		return
 	}
 	n.prefetch(s)
 	n.book.ClearDirty(s.index)
 	if n.needsFreshView(s) {
 		n.beginLedgerUpdate(s)
-		n.readLedger(s)
+		n.refreshView(s)
 		return
 	}
 	ops := n.prepareOperations(s)
-	if len(ops) == 0 {
+	if len(ops) == 0 && len(s.remote) == 0 {
 		n.fallBackToPeers(s, errkind.BudgetExhausted)
 		return
 	}
 	n.beginLedgerUpdate(s)
 	s.nextBackgroundUpdate = n.now + n.backgroundUpdatePeriod()
-	if s.known && (n.refillPeriod() == 0 || n.now-s.seenAt < maxUpdateViewAge) {
-		n.updateLedger(s, ops)
+	n.writeOperations(s, ops)
+}
+
+// writeOperations has operations written by the writer of the shard, which may
+// be this instance.
+func (n *Node) writeOperations(s *ledgerShard, ops map[string]*ledger.Operation) {
+	if writer := n.ledgerWriter(s); writer != n.settings.Name {
+		n.delegate(s, writer, ops)
+		return
+	}
+	// The view of the only writer is rarely outdated, and a conflict tells.
+	isWriter := n.combinesUpdates() && (len(ops) > 0 || s.hasRemoteOperations())
+	if s.known && (n.refillPeriod() == 0 || isWriter || n.now-s.seenAt < maxUpdateViewAge) {
+		n.continueLedgerUpdate(s)
 	} else {
 		n.readLedger(s)
 	}
@@ -140,7 +171,24 @@
 // ledger is too old to conclude that it has none. Without a refill period it is
 // always false; a refill period makes updates rare and views old.
 func (n *Node) needsFreshView(s *ledgerShard) bool {
-	return n.refillPeriod() > 0 && (!s.known || n.now-s.seenAt > maxExhaustedViewAge) && len(n.waitingFor(s)) > 0
+	if n.refillPeriod() == 0 || (s.known || s.summary) && n.now-s.seenAt <= maxExhaustedViewAge {
+		return false
+	}
+	waiting := n.waitingFor(s)
+	if !n.combinesUpdates() {
+		return len(waiting) > 0
+	}
+	// An update is cheap, so that an old view only matters if it shows too little.
+	return slices.ContainsFunc(waiting, func(r *request) bool { return n.sizing(s, r.Budget).LedgerAvailable < r.WorstCaseTokens })
+}
+
+// refreshView gets a fresh view of the shard in the update that has begun.
+func (n *Node) refreshView(s *ledgerShard) {
+	if writer := n.ledgerWriter(s); writer != n.settings.Name {
+		n.delegate(s, writer, nil)
+		return
+	}
+	n.readLedger(s)
 }
 
 // maxUpdateViewAge is the maximum age of a view of a shard at which the shard
@@ -250,7 +298,7 @@
 				return
 			}
 		case event.PlatformNotFound:
-			s.version, s.shard, s.known = "", &ledger.Shard{}, true
+			s.version, s.shard, s.known, s.summary, s.seenAt = "", &ledger.Shard{}, true, false, n.now
 		default:
 			n.failLedgerUpdate(s)
 			return
@@ -267,14 +315,19 @@
 	if err != nil {
 		return false
 	}
-	s.version, s.shard, s.bytes, s.known, s.seenAt = o.Version, shard, len(o.Value), true, n.now
+	s.version, s.shard, s.bytes, s.known, s.summary, s.seenAt = o.Version, shard, len(o.Value), true, false, n.now
 	return true
 }
 
 // reconcileAccounts updates the accounts from the shard as last seen and closes
 // the open operations that it shows as applied.
 func (n *Node) reconcileAccounts(s *ledgerShard) {
-	for _, name := range n.book.BudgetsInShard(s.index) {
+	n.reconcileBudgets(s, n.book.BudgetsInShard(s.index))
+}
+
+// reconcileBudgets is reconcileAccounts for some of the shard's budgets.
+func (n *Node) reconcileBudgets(s *ledgerShard, names []string) {
+	for _, name := range names {
 		b := s.shard.Budgets[name]
 		if b == nil {
 			b = &ledger.Budget{}
@@ -288,7 +341,8 @@
 	// Writes a shard that has just been read if operations are due or grants of
 	// holders that are gone are to be closed, and ends the update otherwise.
 	ops := n.prepareOperations(s)
-	if len(ops) == 0 && !(n.closesGrantsIn(s) && len(n.goneGrants(s.shard)) > 0) {
+	if len(ops) == 0 && !s.hasRemoteOperations() && !(n.closesGrantsIn(s) && len(n.goneGrants(s.shard)) > 0) {
+		n.answerRemote(s, s.remote)
 		n.finishLedgerUpdate(s)
 		return
 	}
@@ -306,6 +360,8 @@
 		}
 		b.Apply(*ops[name])
 	}
+	remote := slices.Clone(s.remote)
+	n.applyRemote(next, remote)
 	n.closeGoneGrants(next)
 	raw, err := next.Encode()
 	if err != nil {
@@ -322,8 +378,9 @@
 		switch r.Status {
 		case event.PlatformOK:
 			s.version, s.shard, s.bytes, s.seenAt = r.Object.Version, next, len(raw), n.now
-			n.logLedgerUpdate(s, len(ops))
+			n.logLedgerUpdate(s, len(ops), len(remote))
 			n.reconcileAccounts(s)
+			n.answerRemote(s, remote)
 			n.finishLedgerUpdate(s)
 		case event.PlatformUnavailable:
 			n.failLedgerUpdate(s)
@@ -397,7 +454,7 @@
 
 // logLedgerUpdate logs the state of a shard after an update, summed over its
 // budgets.
-func (n *Node) logLedgerUpdate(s *ledgerShard, operations int) {
+func (n *Node) logLedgerUpdate(s *ledgerShard, operations, remote int) {
 	var prepaid, settled, outstanding, ownUnspent int64
 	grants := 0
 	for _, name := range sortedKeys(s.shard.Budgets) {
@@ -410,7 +467,7 @@
 	for _, name := range n.book.BudgetsInShard(s.index) {
 		ownUnspent += n.book.Lookup(name).Available()
 	}
-	n.logChange("ledger updated", "version", s.version, "operations", operations, "conflicts", s.conflicts+s.objectConflicts, "took", n.now-s.startedAt,
+	n.logChange("ledger updated", "version", s.version, "operations", operations, "for_peers", remote, "conflicts", s.conflicts+s.objectConflicts, "took", n.now-s.startedAt,
 		"bytes", s.bytes, "grants", grants, "prepaid", prepaid, "settled", settled, "outstanding", outstanding, "own_unspent", ownUnspent)
 }
 
@@ -432,7 +489,7 @@
 			notAsked = true
 		}
 	}
-	if notAsked {
+	if notAsked || n.remoteDue(s) {
 		n.startLedgerUpdate(s)
 	}
 }
@@ -453,6 +510,7 @@
 func (n *Node) failLedgerUpdate(s *ledgerShard) {
 	n.logChange("ledger update failed", "shard", s.name, "took", n.now-s.startedAt, "conflicts", s.conflicts+s.objectConflicts, "bytes", s.bytes, "failures", s.failures+1)
 	s.inFlight, s.known, s.conflicts, s.objectConflicts = false, false, 0, 0
+	n.refuseRemote(s)
 	s.retryAt = n.now + n.backoff(s.failures)
 	s.failures++
 	n.fallBackToPeers(s, errkind.BudgetUnavailable)
--- /dev/null
+++ b/core/node/ledgerwriter.go
@@ -0,0 +1,255 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"plantainfield.example/core/config"
+	"plantainfield.example/core/event"
+	"plantainfield.example/core/ledger"
+)
+
+const (
+	// acceptTimeout bounds the wait until a writer accepts a request. It leaves a
+	// request of a caller enough of its own wait for a write by this instance.
+	acceptTimeout = 100 * time.Millisecond
+	// writerTimeout bounds the wait for the result of an accepted request. It is
+	// longer than a platform call may take.
+	writerTimeout = 1200 * time.Millisecond
+	// writerAvoidTime is how long a peer is not asked to write after it did not
+	// answer or could not reach the ledger.
+	writerAvoidTime = 2 * time.Second
+	// combineDelay is how long the writer waits for further requests if no caller
+	// waits for the result.
+	combineDelay = 200 * time.Millisecond
+)
+
+// delegation is a request to the writer of a shard that is in flight.
+type delegation struct {
+	event.LedgerRequest
+	writer string
+	// timeout is when the writer must have accepted the request or, once it has,
+	// sent the result.
+	timeout time.Duration
+}
+
+// remoteUpdate is a request of a peer that this instance has accepted.
+type remoteUpdate struct {
+	event.LedgerRequest
+	peer   string
+	holder ledger.Holder
+	// due is when it is written at the latest.
+	due time.Duration
+}
+
+// combinesUpdates reports whether one instance writes the updates of many.
+func (n *Node) combinesUpdates() bool {
+	return n.configs.index != nil && n.configs.index.Document.Policies.Grants.CombineUpdates
+}
+
+// ledgerWriter returns the name of the instance that writes a shard: the one with
+// the largest share of a processor, and among these the first by rendezvous
+// hash. Instances may differ in their view of it, and it may fail at any moment:
+// every write is conditional, and operations are idempotent.
+func (n *Node) ledgerWriter(s *ledgerShard) string {
+	if !n.combinesUpdates() || len(s.remote) > 0 {
+		return n.settings.Name
+	}
+	rank := func(in event.Instance) uint64 { return xxhash.Sum64String(s.name + "\x00" + in.Name) }
+	best := event.Instance{}
+	if !n.stopping {
+		best = n.members.self
+		best.Name = n.settings.Name
+	}
+	for _, name := range n.members.peerNames() {
+		p := n.members.peers[name]
+		if !n.live(p) || p.PeerAddress == "" || n.now < n.ledgers.avoidedWriters[name] {
+			continue
+		}
+		if best.Name == "" || cmp.Or(cmp.Compare(p.ProcessorMillis, best.ProcessorMillis), cmp.Compare(rank(p.Instance), rank(best))) > 0 {
+			best = p.Instance
+		}
+	}
+	if best.Name == "" {
+		return n.settings.Name
+	}
+	return best.Name
+}
+
+// delegate asks the writer of a shard to apply this instance's operations, or
+// only for the state of its budgets if there are none.
+func (n *Node) delegate(s *ledgerShard, writer string, ops map[string]*ledger.Operation) {
+	n.ledgers.lastDelegation++
+	s.delegation = &delegation{
+		LedgerRequest: event.LedgerRequest{
+			Shard: s.index, ID: n.ledgers.lastDelegation, Operations: ops,
+			Budgets: slices.Clone(n.book.BudgetsInShard(s.index)), Urgent: len(n.waitingFor(s)) > 0,
+		},
+		writer: writer, timeout: n.now + acceptTimeout,
+	}
+	n.sendDelegation(s.delegation)
+}
+
+func (n *Node) sendDelegation(d *delegation) {
+	m := d.LedgerRequest
+	n.send(d.writer, event.PeerMessage{LedgerRequest: &m})
+}
+
+// expediteDelegation tells the writer that a request of a caller now waits for
+// the result.
+func (n *Node) expediteDelegation(s *ledgerShard) {
+	if d := s.delegation; d != nil && !d.Urgent && len(n.waitingFor(s)) > 0 {
+		d.Urgent = true
+		n.sendDelegation(d)
+	}
+}
+
+// ledgerReplied continues the update whose request the writer answered. Replies
+// to earlier requests are ignored.
+func (n *Node) ledgerReplied(p *peer, m *event.LedgerReply) {
+	if m.Shard < 0 || m.Shard >= len(n.ledgers.shards) {
+		n.logChange("ledger reply ignored", "peer", p.Name, "shard", m.Shard)
+		return
+	}
+	s := n.ledgers.shards[m.Shard]
+	d := s.delegation
+	if d == nil || d.ID != m.ID || d.writer != p.Name {
+		return
+	}
+	switch m.Status {
+	case event.LedgerAccepted:
+		d.timeout = n.now + writerTimeout
+	case event.LedgerApplied:
+		s.delegation = nil
+		n.setSummaries(s, d.Budgets, m.Budgets)
+		n.reconcileBudgets(s, d.Budgets)
+		n.finishLedgerUpdate(s)
+	default:
+		n.abandonDelegation(s, "failed")
+	}
+}
+
+// setSummaries replaces the view of some budgets by the summaries that a writer
+// sent.
+func (n *Node) setSummaries(s *ledgerShard, names []string, summaries map[string]*ledger.Budget) {
+	budgets := make(map[string]*ledger.Budget, len(s.shard.Budgets))
+	for name, b := range s.shard.Budgets {
+		budgets[name] = b
+	}
+	for _, name := range names {
+		delete(budgets, name)
+		if b := summaries[name]; b != nil {
+			budgets[name] = b
+		}
+	}
+	s.shard, s.known, s.summary, s.seenAt = &ledger.Shard{Budgets: budgets}, false, true, n.now
+}
+
+func (n *Node) delegationTimedOut(s *ledgerShard) { n.abandonDelegation(s, "timed out") }
+
+// abandonDelegation continues the update of a shard without the writer, by a
+// write of this instance: the operations may or may not have taken effect, which
+// the ledger tells. Later updates go to another writer.
+func (n *Node) abandonDelegation(s *ledgerShard, reason string) {
+	d := s.delegation
+	s.delegation = nil
+	n.ledgers.avoidedWriters[d.writer] = n.now + writerAvoidTime
+	n.logChange("ledger writer avoided", "writer", d.writer, "reason", reason, "after", n.now-s.startedAt, "operations", len(d.Operations))
+	n.readLedger(s)
+}
+
+// ledgerRequested accepts a peer's operations for the next write, or refuses
+// them if this instance can't reach the ledger.
+func (n *Node) ledgerRequested(p *peer, m *event.LedgerRequest) {
+	u := &remoteUpdate{LedgerRequest: *m, peer: p.Name, holder: p.holder(), due: n.now + combineDelay}
+	if !n.validRequest(u) || n.configs.index == nil || n.stopping || n.ledgers.shards[m.Shard].failures > 0 {
+		n.reply(u, event.LedgerFailed, nil)
+		return
+	}
+	s := n.ledgers.shards[m.Shard]
+	if m.Urgent {
+		u.due = n.now
+	}
+	s.remote = append(slices.DeleteFunc(s.remote, func(o *remoteUpdate) bool { return o.peer == p.Name }), u)
+	n.reply(u, event.LedgerAccepted, nil)
+	if n.remoteDue(s) {
+		n.startLedgerUpdate(s)
+	}
+}
+
+// validRequest reports whether a request concerns a known shard and contains only
+// operations of its sender.
+func (n *Node) validRequest(u *remoteUpdate) bool {
+	valid := u.Shard >= 0 && u.Shard < len(n.ledgers.shards)
+	for _, op := range u.Operations {
+		valid = valid && op != nil && op.Holder == u.holder
+	}
+	if !valid {
+		n.logChange("ledger request refused", "peer", u.peer, "shard", u.Shard, "operations", len(u.Operations))
+	}
+	return valid
+}
+
+// remoteDue reports whether a peer's request is to be written now.
+func (n *Node) remoteDue(s *ledgerShard) bool {
+	return slices.ContainsFunc(s.remote, func(u *remoteUpdate) bool { return n.stopping || n.now >= u.due })
+}
+
+// hasRemoteOperations reports whether peers' requests contain operations.
+func (s *ledgerShard) hasRemoteOperations() bool {
+	return slices.ContainsFunc(s.remote, func(u *remoteUpdate) bool { return len(u.Operations) > 0 })
+}
+
+// applyRemote applies the operations of peers to the next version of a shard.
+func (n *Node) applyRemote(next *ledger.Shard, remote []*remoteUpdate) {
+	for _, u := range remote {
+		for _, name := range sortedKeys(u.Operations) {
+			b := next.Budget(name)
+			if c := n.configs.index.Budget(name); c != nil {
+				b.SetTarget(c.PrepaidTokens, n.configs.index.Generation)
+			}
+			b.Apply(n.limited(b, *u.Operations[name], u.Urgent))
+		}
+	}
+}
+
+// limited returns an operation that takes no more in advance than all grants
+// together may: the sender chose the amount from an older view.
+func (n *Node) limited(b *ledger.Budget, op ledger.Operation, urgent bool) ledger.Operation {
+	p := n.configs.index.Document.Policies.Grants
+	if p.Policy == config.GrantSpread && !urgent && op.Want > 0 {
+		spreadable := max(0, b.Target-b.SettledTotal()) * p.MaxSharePerMille / 1000
+		op.Want = min(op.Want, max(0, spreadable-b.Outstanding()))
+	}
+	return op
+}
+
+// answerRemote answers requests of peers whose operations have taken effect in
+// the view of the shard.
+func (n *Node) answerRemote(s *ledgerShard, answered []*remoteUpdate) {
+	for _, u := range answered {
+		budgets := map[string]*ledger.Budget{}
+		for _, name := range u.Budgets {
+			if b := s.shard.Budgets[name]; b != nil {
+				budgets[name] = b.Summary(u.holder)
+			}
+		}
+		n.reply(u, event.LedgerApplied, budgets)
+	}
+	s.remote = slices.DeleteFunc(s.remote, func(u *remoteUpdate) bool { return slices.Contains(answered, u) })
+}
+
+// refuseRemote tells peers that their operations could not be written.
+func (n *Node) refuseRemote(s *ledgerShard) {
+	for _, u := range s.remote {
+		n.reply(u, event.LedgerFailed, nil)
+	}
+	s.remote = nil
+}
+
+func (n *Node) reply(u *remoteUpdate, status event.LedgerStatus, budgets map[string]*ledger.Budget) {
+	n.send(u.peer, event.PeerMessage{LedgerReply: &event.LedgerReply{Shard: u.Shard, ID: u.ID, Status: status, Budgets: budgets}})
+}
--- /dev/null
+++ b/core/node/ledgerwriter_test.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"plantainfield.example/core/config"
+	"plantainfield.example/core/errkind"
+	"plantainfield.example/core/event"
+	"plantainfield.example/core/ledger"
+)
+
+// writerFleet is a fleet of four instances that combine their ledger updates.
+type writerFleet struct {
+	*world
+	// writer writes the ledger shard of the budget "b", other is another instance.
+	writer, other string
+	// writes counts the writes of that shard that reached the platform, by
+	// instance.
+	writes map[string]int
+}
+
+func newWriterFleet() *writerFleet {
+	f := &writerFleet{writes: map[string]int{}}
+	f.world = readyWorldWith(4, 100_000, func(p *config.GrantPolicy) {
+		p.Policy, p.SizeTokens, p.CombineUpdates, p.RefillMillis, p.MaxWaitMillis = config.GrantSpread, 100, true, 1000, 250
+		p.MaxSharePerMille = 400
+	})
+	in := f.nodes["n1"]
+	f.writer = in.node.ledgerWriter(in.node.ledgers.shardOf("b"))
+	f.other = "n1"
+	if f.writer == "n1" {
+		f.other = "n2"
+	}
+	f.hooks.interceptCall = func(in *instance, call event.PlatformCall) bool {
+		if call.Object.Kind == event.KindLedger && call.Op != event.OpGet {
+			f.writes[in.name]++
+		}
+		return false
+	}
+	return f
+}
+
+// served sends a request that needs tokens of the ledger to an instance and
+// returns how long it waited until it was served, or false if it was refused.
+func (f *writerFleet) served(to string, tokens int64) (time.Duration, bool) {
+	c := f.send(to, exampleRequest(fmt.Sprintf("k%d", f.handle), tokens, true))
+	start := f.now
+	for !f.answers[c].done && f.now-start < 3*time.Second {
+		f.runFor(event.TickPeriod)
+	}
+	return f.now - start, f.answers[c].complete && f.answers[c].refused == errkind.None
+}
+
+func TestCombinedLedgerUpdates(t *testing.T) {
+	Convey("Given instances that combine their ledger updates", t, func() {
+		f := newWriterFleet()
+		Convey("all of them choose the same writer", func() {
+			for _, in := range f.nodes {
+				So(in.node.ledgerWriter(in.node.ledgers.shardOf("b")), ShouldEqual, f.writer)
+			}
+		})
+		Convey("the writer writes for requests at all of them", func() {
+			for _, name := range f.nodeNames() {
+				took, ok := f.served(name, 5000)
+				So(ok, ShouldBeTrue)
+				So(took, ShouldBeLessThan, acceptTimeout)
+			}
+			So(f.writes, ShouldHaveLength, 1)
+			So(f.writes[f.writer], ShouldBeGreaterThan, 0)
+		})
+		Convey("an instance writes itself within a request's wait if the writer doesn't answer", func() {
+			f.cutPeers[pair(f.writer, f.other)] = true
+			took, ok := f.served(f.other, 5000)
+			So(ok, ShouldBeTrue)
+			So(took, ShouldBeLessThan, 250*time.Millisecond)
+			So(f.writes[f.other], ShouldBeGreaterThan, 0)
+			Convey("and does not ask that writer again for writerAvoidTime", func() {
+				took, ok := f.served(f.other, 9000)
+				So(ok, ShouldBeTrue)
+				So(took, ShouldBeLessThan, acceptTimeout)
+			})
+		})
+		Convey("an instance writes itself if the writer can't reach the ledger", func() {
+			f.cutPlatform[f.writer] = true
+			took, ok := f.served(f.other, 5000)
+			So(ok, ShouldBeTrue)
+			So(took, ShouldBeLessThan, 250*time.Millisecond)
+			So(f.writes[f.other], ShouldBeGreaterThan, 0)
+		})
+		Convey("a writer that stops hands over to another one", func() {
+			f.step(f.nodes[f.writer], event.Event{ShutdownRequired: &event.ShutdownRequired{}})
+			f.runFor(2 * time.Second)
+			So(f.nodes[f.writer].stopped, ShouldBeTrue)
+			took, ok := f.served(f.other, 5000)
+			So(ok, ShouldBeTrue)
+			So(took, ShouldBeLessThan, acceptTimeout)
+		})
+		Convey("the writer refuses operations of another holder than the sender", func() {
+			op := &ledger.Operation{Holder: "n9/1", Sequence: 1, Want: 5000}
+			f.step(f.nodes[f.writer], event.Event{PeerReceived: &event.PeerReceived{From: f.other, Incarnation: "1", Message: event.PeerMessage{
+				LedgerRequest: &event.LedgerRequest{Shard: f.nodes[f.writer].node.ledgers.shardOf("b").index, ID: 99, Operations: map[string]*ledger.Operation{"b": op}, Urgent: true},
+			}}})
+			f.runFor(time.Second)
+			So(f.ledgerBudgets()["b"].Grants, ShouldNotContainKey, ledger.Holder("n9/1"))
+		})
+		Convey("a shard that doesn't exist is refused", func() {
+			for _, shard := range []int{-1, 99} {
+				m := event.PeerMessage{LedgerRequest: &event.LedgerRequest{Shard: shard, ID: 1}}
+				f.step(f.nodes[f.writer], event.Event{PeerReceived: &event.PeerReceived{From: f.other, Incarnation: "1", Message: m}})
+				m = event.PeerMessage{LedgerReply: &event.LedgerReply{Shard: shard, ID: 1, Status: event.LedgerApplied}}
+				f.step(f.nodes[f.writer], event.Event{PeerReceived: &event.PeerReceived{From: f.other, Incarnation: "1", Message: m}})
+			}
+		})
+	})
+}
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -230,6 +230,10 @@
 		n.transferReceived(p, m.Transfer)
 	case m.Loads != nil:
 		n.loadsReceived(p, m.Loads)
+	case m.LedgerRequest != nil:
+		n.ledgerRequested(p, m.LedgerRequest)
+	case m.LedgerReply != nil:
+		n.ledgerReplied(p, m.LedgerReply)
 	}
 }
 
--- a/core/node/tokens_property_test.go
+++ b/core/node/tokens_property_test.go
@@ -25,10 +25,11 @@
 func newTokenRun(rt *rapid.T) *tokenRun {
 	r := &tokenRun{maxTotal: 600}
 	policy := rapid.SampledFrom([]string{config.GrantStatic, config.GrantFixed, config.GrantAdaptive, config.GrantSpread}).Draw(rt, "policy")
-	transfer := rapid.Bool().Draw(rt, "transfer")
-	r.world = readyWorldWith(3, r.maxTotal, func(p *config.GrantPolicy) { p.Policy, p.PeerTransfer = policy, transfer })
+	transfer, combine := rapid.Bool().Draw(rt, "transfer"), rapid.Bool().Draw(rt, "combine")
+	set := func(p *config.GrantPolicy) { p.Policy, p.PeerTransfer, p.CombineUpdates = policy, transfer, combine }
+	r.world = readyWorldWith(3, r.maxTotal, set)
 	r.document = budgetDocument(r.maxTotal)
-	r.document.Policies.Grants.Policy, r.document.Policies.Grants.PeerTransfer = policy, transfer
+	set(&r.document.Policies.Grants)
 	return r
 }
 
--- a/fleet/daemon/hosted_policies.go
+++ b/fleet/daemon/hosted_policies.go
@@ -47,7 +47,7 @@
 	p := config.Defaults().Policies
 	p.Grants = config.GrantPolicy{
 		Policy: config.GrantSpread, SizeTokens: grantFloorTokens, RunwaySeconds: grantRunwaySeconds, MaxSharePerMille: grantSharePerMille,
-		PeerTransfer: true, RefillMillis: grantRefillMillis, MaxWaitMillis: grantWaitMillis,
+		PeerTransfer: true, RefillMillis: grantRefillMillis, MaxWaitMillis: grantWaitMillis, CombineUpdates: true,
 	}
 	p.Routing.Policy = config.RoutingLeastWork
 	p.Retries = adapter.Retries
