Measure a holder's spending from its first request on

Cause: the rate of spending that sizes a grant weights its first windows equally, but counted windows from the start of the process on. After ten idle seconds each new window had the weight 0.1, so that the rate reached half of its value only after six seconds of load and grants held a third of their runway.

Windows now count from the first spending on.

--- a/core/budget/account.go
+++ b/core/budget/account.go
@@ -94,6 +94,10 @@
 const steadyAlpha = 0.1
 
 func (r *steadyRate) at(now time.Duration) float64 {
+	if r.windows == 0 && r.pending == 0 { // nothing was spent yet
+		r.since = now
+		return 0
+	}
 	if elapsed := now - r.since; elapsed >= rateWindow {
 		r.windows++
 		current := float64(r.pending) / elapsed.Seconds()
--- a/core/budget/policy_test.go
+++ b/core/budget/policy_test.go
@@ -98,6 +98,13 @@
 			So(step(&a, 0), ShouldBeTrue)
 			So(a.Available(), ShouldEqual, 100)
 		})
+		Convey("counts the rate of spending from the first spending on", func() {
+			a.WantedSize(30*time.Second, Sizing{Policy: p})
+			step(&a, 31*time.Second)
+			So(a.Reserve(50), ShouldBeTrue)
+			a.Settle(50, 50)
+			So(a.steady.at(32*time.Second), ShouldEqual, 50)
+		})
 		Convey("leaves its reserve in the ledger", func() {
 			b.Apply(ledger.Operation{Holder: "n2/1", Sequence: 1, Want: 550})
 			step(&a, 0)
