Let a grant follow the spending of a holder that serves a customer alone

Cause: a holder could have an equal part of a budget at most, an eighth, whoever its callers are.

A holder that spends over three times as much as a mean one now gets its part of the fleet's spending, which it knows from the settled amounts in its views of the ledger.

--- a/core/budget/account.go
+++ b/core/budget/account.go
@@ -44,6 +44,10 @@
 	rate  rate
 	// steady is the spending averaged over a longer time than rate.
 	steady steadyRate
+	// fleet is the same for all holders together, as they report it, and
+	// fleetSettled the total that it has counted.
+	fleet        steadyRate
+	fleetSettled int64
 }
 
 // rate estimates spending in tokens per second as an exponentially weighted
@@ -176,9 +180,16 @@
 	for _, from := range b.HolderNames() {
 		a.Receive(from, b.Grants[from].Sent[self])
 	}
+	a.countFleet(b.SettledTotal())
 	return applied
 }
 
+// countFleet counts what all holders together have spent since the last call.
+func (a *Account) countFleet(settled int64) {
+	a.fleet.pending += max(0, settled-a.fleetSettled)
+	a.fleetSettled = max(settled, a.fleetSettled)
+}
+
 // resolve completes the open operation, which took effect.
 func (a *Account) resolve() {
 	a.reported = a.open.Spent
--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -27,6 +27,13 @@
 	// "spread", which tracks a budget that is running low more closely.
 	spreadLowPerMille  = 700
 	spreadHighPerMille = 2000
+	// unevenRatio is the ratio of a holder's spending to that of a mean holder
+	// from which on its part of a budget follows its spending. It is larger than
+	// the ratios that a few large requests cause.
+	unevenRatio = 3
+	// unevenWindows is the number of windows of the fleet's spending that must
+	// have ended before.
+	unevenWindows = 3
 )
 
 // Sizing holds the inputs from which a grant's size is chosen.
@@ -65,14 +72,7 @@
 	case config.GrantFixed:
 		return s.Policy.SizeTokens
 	case config.GrantSpread:
-		if s.Stopping {
-			return 0
-		}
-		wanted := int64(a.steady.at(now) * float64(s.Policy.RunwaySeconds))
-		if !s.OnDemand {
-			wanted = max(wanted, s.Policy.SizeTokens)
-		}
-		return min(wanted, s.spreadable()/max(1, s.Instances))
+		return a.spreadSize(now, s)
 	default:
 		runway := int64(a.rate.at(now) * float64(s.Policy.RunwaySeconds))
 		share := (s.LedgerAvailable + a.Available()) * s.Policy.MaxSharePerMille / perMille
@@ -80,6 +80,26 @@
 	}
 }
 
+// spreadSize returns the unspent grant that the policy "spread" aims for. It is
+// at most an equal part of what may be granted or, if callers are not spread
+// evenly, this holder's part of the fleet's spending.
+func (a *Account) spreadSize(now time.Duration, s Sizing) int64 {
+	if s.Stopping {
+		return 0
+	}
+	own, fleet := a.steady.at(now), a.fleet.at(now)
+	equalPart := s.spreadable() / max(1, s.Instances)
+	limit := equalPart
+	if a.fleet.windows >= unevenWindows && own*float64(s.Instances) > unevenRatio*fleet {
+		limit = int64(float64(s.spreadable()) * min(1, own/fleet))
+	}
+	size := min(int64(own*float64(s.Policy.RunwaySeconds)), limit)
+	if !s.OnDemand {
+		size = max(size, min(s.Policy.SizeTokens, equalPart))
+	}
+	return size
+}
+
 // spreadable returns the part of a budget that all grants together may take.
 // The rest stays in the ledger for the instances that run after all holders
 // have crashed.
--- a/core/budget/policy_test.go
+++ b/core/budget/policy_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -34,6 +35,19 @@
 	}
 }
 
+// spendInTurn lets a and a number of other holders each spend tokens in a second.
+func spendInTurn(b *ledger.Budget, a *Account, step func(*Account, time.Duration) bool, second time.Duration, tokens int64, others int) {
+	if a.Reserve(tokens) {
+		a.Settle(tokens, tokens)
+	}
+	for i := range others {
+		b.Apply(ledger.Operation{
+			Holder: ledger.Holder(fmt.Sprintf("n%d/1", i+2)), Sequence: uint64(second) + 1, Want: tokens, Spent: tokens * (int64(second) + 1),
+		})
+	}
+	step(a, second*time.Second)
+}
+
 func TestGrantPolicies(t *testing.T) {
 	Convey("A static policy grants an equal part of the total and no more", t, func() {
 		var a Account
@@ -98,6 +112,19 @@
 			So(step(&a, 0), ShouldBeTrue)
 			So(a.Available(), ShouldEqual, 100)
 		})
+		Convey("takes an equal part at most while the others spend as much", func() {
+			for second := range 20 * time.Second / time.Second {
+				spendInTurn(b, &a, step, second, 10, 3)
+			}
+			So(a.Available(), ShouldBeLessThanOrEqualTo, (prepaid-b.SettledTotal())*600/perMille/4+20)
+		})
+		Convey("follows the spending of a holder that serves a customer alone", func() {
+			for second := range 20 * time.Second / time.Second {
+				spendInTurn(b, &a, step, second, 30, 0)
+			}
+			So(a.Available(), ShouldBeGreaterThan, 2*(prepaid-b.SettledTotal())*600/perMille/4)
+			So(b.Outstanding(), ShouldBeLessThanOrEqualTo, (prepaid-b.SettledTotal())*600/perMille)
+		})
 		Convey("counts the rate of spending from the first spending on", func() {
 			a.WantedSize(30*time.Second, Sizing{Policy: p})
 			step(&a, 31*time.Second)
