Ask a peer for a newer configuration soon where watches deliver it

Found by a test for the longer watches of large fleets: if one of 86 instances reads a configuration and the watches of the others miss it, 78 were still behind 1.7 s later. A peer was asked only a second after it had told of the newer generation, and only when another heartbeat arrived.

Where the platform delivers every configuration by a watch, a peer is now asked after 200 ms, and each tick checks it.

--- a/core/node/configs.go
+++ b/core/node/configs.go
@@ -18,6 +18,9 @@
 	// peerFetchDelay is how long the platform may take to deliver a generation
 	// that peers have before one of them is asked for it.
 	peerFetchDelay = time.Second
+	// hostedPeerFetchDelay is the same where the platform delivers every
+	// configuration by a watch, at once or, to some instances, much later.
+	hostedPeerFetchDelay = 200 * time.Millisecond
 	// peerFetchPeriod is the minimum time between two such requests to peers.
 	peerFetchPeriod = 500 * time.Millisecond
 )
@@ -34,7 +37,9 @@
 	// behindSince is when highestPeerGeneration first exceeded the generation in
 	// force.
 	behindSince time.Duration
-	nextFetch   time.Duration
+	// newerPeer is the last peer that reported a newer generation.
+	newerPeer string
+	nextFetch time.Duration
 
 	nextPoll time.Duration
 	polling  bool
@@ -69,6 +74,7 @@
 
 func (n *Node) tickConfig() {
 	n.tickApplies()
+	n.fetchFromPeer()
 	if n.settings.Disabled.ConfigurationStore || n.configs.polling || n.now < n.configs.nextPoll {
 		return
 	}
@@ -174,15 +180,27 @@
 		c.behindSince = n.now
 		c.nextPoll = min(c.nextPoll, n.now+n.jitter(peerFetchDelay/2))
 	}
-	c.highestPeerGeneration = max(c.highestPeerGeneration, generation)
-	if n.now < c.nextFetch || !c.polledOnce && !n.settings.Disabled.ConfigurationStore {
+	c.highestPeerGeneration, c.newerPeer = max(c.highestPeerGeneration, generation), from
+	n.fetchFromPeer()
+}
+
+// fetchFromPeer asks a peer for its newer configuration if the platform has had
+// time to deliver it.
+func (n *Node) fetchFromPeer() {
+	c := &n.configs
+	hosted := n.settings.Disabled.ConfigurationStore
+	if c.highestPeerGeneration <= c.generation() || n.now < c.nextFetch || !c.polledOnce && !hosted {
 		return
 	}
-	if !c.pollFailed && n.now-c.behindSince < peerFetchDelay {
+	delay := peerFetchDelay
+	if hosted {
+		delay = hostedPeerFetchDelay
+	}
+	if !c.pollFailed && n.now-c.behindSince < delay {
 		return
 	}
 	c.nextFetch = n.now + peerFetchPeriod
-	n.send(from, event.PeerMessage{ConfigRequest: &event.ConfigRequest{NewerThan: c.generation()}})
+	n.send(c.newerPeer, event.PeerMessage{ConfigRequest: &event.ConfigRequest{NewerThan: c.generation()}})
 }
 
 func (n *Node) configRequested(from string, q *event.ConfigRequest) {
--- a/core/node/servinginstances_test.go
+++ b/core/node/servinginstances_test.go
@@ -111,3 +111,52 @@
 		})
 	})
 }
+
+func TestConfigurationSpreadsThroughLargeHostedFleet(t *testing.T) {
+	// Guards against a change that only a few watches of a large fleet report.
+	Convey("A configuration that one instance of a large fleet reads is in force everywhere in time", t, func() {
+		for seed := range uint64(10) {
+			s := newBudgetSimulation(seed, spreadPolicy(), largeFleet(86))
+			s.runUntil(rampUp)
+			s.generation++
+			s.configure(s.nodes[int(seed)%len(s.nodes)])
+			s.runUntil(s.now + maxSpreadTime)
+			behind := 0
+			for _, in := range s.nodes {
+				if in.node.configs.generation() <= s.generation {
+					behind++
+				}
+			}
+			So(behind, ShouldEqual, 0)
+		}
+	})
+}
+
+func TestLeavingTargetSpreadsThroughLargeHostedFleet(t *testing.T) {
+	// Guards against a leaving target that only a few watches of a large fleet report.
+	Convey("A target that one instance of a large fleet sees leaving gets no work anywhere in time", t, func() {
+		for seed := range uint64(10) {
+			s := newBudgetSimulation(seed, spreadPolicy(), largeFleet(86))
+			s.runUntil(rampUp)
+			leaving := targetEntry("t1")
+			leaving.State = event.StateLeaving
+			entries := []event.Instance{leaving, targetEntry("t2")}
+			for _, in := range s.nodes {
+				entries = append(entries, s.entry(in.name))
+			}
+			s.step(s.nodes[int(seed)%len(s.nodes)], event.Event{InstancesListed: &event.InstancesListed{Instances: entries}})
+			s.runUntil(s.now + maxSpreadTime)
+			unaware := 0
+			for _, in := range s.nodes {
+				if !in.node.members.targets["t1"].leaving {
+					unaware++
+				}
+			}
+			So(unaware, ShouldEqual, 0)
+		}
+	})
+}
+
+// maxSpreadTime is what is left, after the watch that reports a change, of the
+// three seconds in which a configuration must be in force and a target drains.
+const maxSpreadTime = 1700 * time.Millisecond
