Write in place of a writer whose platform calls get no answer

A writer of combined ledger updates that is cut off from the platform accepts requests of peers and notices only when its own call times out after a second. Until then every request that needed tokens was refused, at all instances.

While requests of callers wait, an instance now waits for the result four times as long as updates usually take, at least 100 ms, and then writes itself. On a slow platform the usual time grows, so that instances don't all write at once.

--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -61,6 +61,8 @@
 	refresh refreshState
 	// avoidedWriters holds, by name, until when a peer is not asked to write.
 	avoidedWriters map[string]time.Duration
+	// usualTime is the moving average of the time that updates take.
+	usualTime time.Duration
 	// lastDelegation is the ID of the last request to a writer.
 	lastDelegation uint64
 }
@@ -378,6 +380,7 @@
 		switch r.Status {
 		case event.PlatformOK:
 			s.version, s.shard, s.bytes, s.seenAt = r.Object.Version, next, len(raw), n.now
+			n.observeUpdateTime(s)
 			n.logLedgerUpdate(s, len(ops), len(remote))
 			n.reconcileAccounts(s)
 			n.answerRemote(s, remote)
--- a/core/node/ledgerwriter.go
+++ b/core/node/ledgerwriter.go
@@ -17,8 +17,15 @@
 	// request of a caller enough of its own wait for a write by this instance.
 	acceptTimeout = 100 * time.Millisecond
 	// writerTimeout bounds the wait for the result of an accepted request. It is
-	// longer than a platform call may take.
+	// longer than a platform call may take. While requests of callers wait, the
+	// bound is usualTimeouts times what updates usually take, but at least
+	// acceptTimeout: a writer that is cut off from the platform accepts requests,
+	// and notices only when its call times out.
 	writerTimeout = 1200 * time.Millisecond
+	usualTimeouts = 4
+	// usualWeight is the weight of one update in the moving average of the time
+	// that updates take.
+	usualWeight = 0.2
 	// writerAvoidTime is how long a peer is not asked to write after it did not
 	// answer or could not reach the ledger.
 	writerAvoidTime = 2 * time.Second
@@ -31,6 +38,7 @@
 type delegation struct {
 	event.LedgerRequest
 	writer string
+	sentAt time.Duration
 	// timeout is when the writer must have accepted the request or, once it has,
 	// sent the result.
 	timeout time.Duration
@@ -88,7 +96,7 @@
 			Shard: s.index, ID: n.ledgers.lastDelegation, Operations: ops,
 			Budgets: slices.Clone(n.book.BudgetsInShard(s.index)), Urgent: len(n.waitingFor(s)) > 0,
 		},
-		writer: writer, timeout: n.now + acceptTimeout,
+		writer: writer, sentAt: n.now, timeout: n.now + acceptTimeout,
 	}
 	n.sendDelegation(s.delegation)
 }
@@ -102,7 +110,7 @@
 // the result.
 func (n *Node) expediteDelegation(s *ledgerShard) {
 	if d := s.delegation; d != nil && !d.Urgent && len(n.waitingFor(s)) > 0 {
-		d.Urgent = true
+		d.Urgent, d.timeout = true, n.now+acceptTimeout
 		n.sendDelegation(d)
 	}
 }
@@ -121,8 +129,9 @@
 	}
 	switch m.Status {
 	case event.LedgerAccepted:
-		d.timeout = n.now + writerTimeout
+		d.timeout = n.now + n.resultTimeout(d)
 	case event.LedgerApplied:
+		n.observeUpdateTime(s)
 		s.delegation = nil
 		n.setSummaries(s, d.Budgets, m.Budgets)
 		n.reconcileBudgets(s, d.Budgets)
@@ -132,6 +141,23 @@
 	}
 }
 
+// resultTimeout is how long this instance waits for the result of an accepted
+// request.
+func (n *Node) resultTimeout(d *delegation) time.Duration {
+	if !d.Urgent {
+		return writerTimeout
+	}
+	return min(writerTimeout, max(acceptTimeout, usualTimeouts*n.ledgers.usualTime))
+}
+
+// observeUpdateTime counts how long an update took that did not wait for others.
+func (n *Node) observeUpdateTime(s *ledgerShard) {
+	if d := s.delegation; d != nil && !d.Urgent {
+		return
+	}
+	n.ledgers.usualTime += time.Duration(usualWeight * float64(n.now-s.startedAt-n.ledgers.usualTime))
+}
+
 // setSummaries replaces the view of some budgets by the summaries that a writer
 // sent.
 func (n *Node) setSummaries(s *ledgerShard, names []string, summaries map[string]*ledger.Budget) {
@@ -157,7 +183,8 @@
 	d := s.delegation
 	s.delegation = nil
 	n.ledgers.avoidedWriters[d.writer] = n.now + writerAvoidTime
-	n.logChange("ledger writer avoided", "writer", d.writer, "reason", reason, "after", n.now-s.startedAt, "operations", len(d.Operations))
+	s.startedAt = n.now
+	n.logChange("ledger writer avoided", "writer", d.writer, "reason", reason, "after", n.now-d.sentAt, "operations", len(d.Operations))
 	n.readLedger(s)
 }
 
--- a/core/node/ledgerwriter_test.go
+++ b/core/node/ledgerwriter_test.go
@@ -91,6 +91,15 @@
 			So(took, ShouldBeLessThan, 250*time.Millisecond)
 			So(f.writes[f.other], ShouldBeGreaterThan, 0)
 		})
+		Convey("an instance writes itself within a request's wait if calls of the writer get no answer", func() {
+			count := f.hooks.interceptCall
+			f.hooks.interceptCall = func(in *instance, call event.PlatformCall) bool {
+				return count(in, call) || in.name == f.writer && call.Object.Kind == event.KindLedger
+			}
+			took, ok := f.served(f.other, 5000)
+			So(ok, ShouldBeTrue)
+			So(took, ShouldBeLessThan, 250*time.Millisecond)
+		})
 		Convey("a writer that stops hands over to another one", func() {
 			f.step(f.nodes[f.writer], event.Event{ShutdownRequired: &event.ShutdownRequired{}})
 			f.runFor(2 * time.Second)
