Ask peers that have work for tokens first

Since views of the ledger from a writer sum up the other holders, an instance without the ledger asked the first sixteen peers by name for tokens, in a large fleet mostly instances that hold none. Those that recently reported work at targets come first now; a view that lists holders still decides before that.

Test: TestPeersWithWorkAreAskedForTokensFirst (n10, n11, n12 asked first before).

--- a/core/node/servinginstances_test.go
+++ b/core/node/servinginstances_test.go
@@ -85,6 +85,22 @@
 	})
 }
 
+func TestPeersWithWorkAreAskedForTokensFirst(t *testing.T) {
+	Convey("In a large fleet whose ledger view doesn't list holders, peers with work are asked for tokens first", t, func() {
+		h, entries := mixedFleet()
+		for _, in := range entries {
+			h.hear(in.Name, event.PeerMessage{Heartbeat: &event.Heartbeat{}})
+		}
+		working := []string{"n60", "n70", "n78"}
+		for _, name := range working {
+			h.hear(name, event.PeerMessage{Loads: &event.Loads{Targets: []event.TargetLoad{{Target: "t1", Running: 1}}}})
+		}
+		asked := h.node.transferPeers("b")
+		So(asked, ShouldHaveLength, maxPeersAsked)
+		So(asked[:len(working)], ShouldResemble, working)
+	})
+}
+
 func TestLoadMessagesFitIntoDatagrams(t *testing.T) {
 	Convey("The work at many targets is sent in parts that fit into a datagram, and summed by the receiver", t, func() {
 		h, entries := mixedFleet()
--- a/core/node/transfers.go
+++ b/core/node/transfers.go
@@ -124,8 +124,9 @@
 	return max(0, shortfall)
 }
 
-// transferPeers returns the live peers to ask, those with the largest unspent
-// grants in the last known ledger first.
+// transferPeers returns the live peers to ask: those with the largest unspent
+// grants in the last known ledger first, then those that have work and therefore
+// probably grants.
 func (n *Node) transferPeers(budgetName string) []string {
 	unspent := map[string]int64{}
 	if b := n.ledgers.shardOf(budgetName).shard.Budgets[budgetName]; b != nil {
@@ -140,7 +141,9 @@
 			peers = append(peers, name)
 		}
 	}
-	slices.SortStableFunc(peers, func(a, b string) int { return cmp.Compare(unspent[b], unspent[a]) })
+	slices.SortStableFunc(peers, func(a, b string) int {
+		return cmp.Or(cmp.Compare(unspent[b], unspent[a]), cmp.Compare(n.workingRank(a), n.workingRank(b)))
+	})
 	return peers[:min(len(peers), maxPeersAsked)]
 }
 
