Ignore a writer's reply to an earlier incarnation

IDs of requests to the writer start anew with each incarnation, so that a late reply could be taken for one to a request of this incarnation. It names another holder's grant, so the open operation stayed open and a waiting request was refused as budget_exhausted. Replies now name the holder they are for.

Found by reading. Test: TestCombinedLedgerUpdates, 'a reply to an earlier incarnation is ignored' (ended the update before).

--- a/core/event/peer.go
+++ b/core/event/peer.go
@@ -70,8 +70,10 @@
 // LedgerReply answers a LedgerRequest, first as accepted and later with its
 // result.
 type LedgerReply struct {
-	Shard  int          `json:"shard"`
-	ID     uint64       `json:"id"`
+	Shard int    `json:"shard"`
+	ID    uint64 `json:"id"`
+	// To is the holder that sent the request.
+	To     string       `json:"to"`
 	Status LedgerStatus `json:"status"`
 	// Budgets are the summaries of the requested budgets for the receiver, after
 	// its operations took effect. A budget that the ledger doesn't have is absent.
--- a/core/node/ledgerwriter.go
+++ b/core/node/ledgerwriter.go
@@ -116,7 +116,7 @@
 }
 
 // ledgerReplied continues the update whose request the writer answered. Replies
-// to earlier requests are ignored.
+// to earlier requests, also to those of an earlier incarnation, are ignored.
 func (n *Node) ledgerReplied(p *peer, m *event.LedgerReply) {
 	if m.Shard < 0 || m.Shard >= len(n.ledgers.shards) {
 		n.logChange("ledger reply ignored", "peer", p.Name, "shard", m.Shard)
@@ -124,7 +124,7 @@
 	}
 	s := n.ledgers.shards[m.Shard]
 	d := s.delegation
-	if d == nil || d.ID != m.ID || d.writer != p.Name {
+	if d == nil || d.ID != m.ID || d.writer != p.Name || m.To != string(n.holder) {
 		return
 	}
 	switch m.Status {
@@ -278,5 +278,5 @@
 }
 
 func (n *Node) reply(u *remoteUpdate, status event.LedgerStatus, budgets map[string]*ledger.Budget) {
-	n.send(u.peer, event.PeerMessage{LedgerReply: &event.LedgerReply{Shard: u.Shard, ID: u.ID, Status: status, Budgets: budgets}})
+	n.send(u.peer, event.PeerMessage{LedgerReply: &event.LedgerReply{Shard: u.Shard, ID: u.ID, To: string(u.holder), Status: status, Budgets: budgets}})
 }
--- a/core/node/ledgerwriter_test.go
+++ b/core/node/ledgerwriter_test.go
@@ -116,6 +116,18 @@
 			f.runFor(time.Second)
 			So(f.ledgerBudgets()["b"].Grants, ShouldNotContainKey, ledger.Holder("n9/1"))
 		})
+		Convey("a reply to an earlier incarnation is ignored", func() {
+			in := f.nodes[f.other]
+			s := in.node.ledgers.shardOf("b")
+			f.step(in, event.Event{RequestArrived: &event.RequestArrived{
+				Request: 99, Customer: "c", Budget: "b", Key: "k", Serves: "m", Idempotent: true, WorstCaseTokens: 5000,
+			}})
+			So(s.delegation, ShouldNotBeNil)
+			f.step(in, event.Event{PeerReceived: &event.PeerReceived{From: f.writer, Incarnation: "1", Message: event.PeerMessage{
+				LedgerReply: &event.LedgerReply{Shard: s.index, ID: s.delegation.ID, To: f.other + "/0", Status: event.LedgerApplied},
+			}}})
+			So(s.delegation, ShouldNotBeNil)
+		})
 		Convey("a shard that doesn't exist is refused", func() {
 			for _, shard := range []int{-1, 99} {
 				m := event.PeerMessage{LedgerRequest: &event.LedgerRequest{Shard: shard, ID: 1}}
