Leave conflicting ledger updates to the writer, also after a restart

Cause: an instance that starts reads the configuration before the instance list. It then counted as the only one, so as one that callers are directed to and as the writer, and drew tokens for all customers; and an update once begun by itself was repeated by itself after each conflict.

An instance draws no tokens ahead until an instance list has named it, and after a conflict an update goes to the writer if that is another instance.

The simulation delivers the instance list 50 ms after the configuration.

--- a/core/node/budget_simulation_test.go
+++ b/core/node/budget_simulation_test.go
@@ -202,7 +202,7 @@
 	for _, n := range s.nodes {
 		entries = append(entries, s.entry(n.name))
 	}
-	s.step(in, event.Event{InstancesListed: &event.InstancesListed{Instances: entries}})
+	s.schedule(listDelay, func() { s.step(in, event.Event{InstancesListed: &event.InstancesListed{Instances: entries}}) })
 	s.schedule(time.Duration(s.rng.Int64N(int64(hostedTickPeriod))), func() { s.tick(in) })
 }
 
@@ -298,6 +298,10 @@
 	return *until - s.now
 }
 
+// listDelay is the time from the start of an instance, which gets the
+// configuration at once, until it gets the instance list.
+const listDelay = 50 * time.Millisecond
+
 // maxWriteDelay is the longest delay after which a write without a result takes
 // effect.
 const maxWriteDelay = 6 * time.Second
--- a/core/node/largefleet_test.go
+++ b/core/node/largefleet_test.go
@@ -86,6 +86,21 @@
 	})
 }
 
+func TestRestartOfLargeFleetDoesNotFloodTheLedger(t *testing.T) {
+	// Guards against instances that all write the ledger before they know their peers.
+	Convey("After a loss of all processes of a large fleet, few updates of the ledger conflict", t, func() {
+		for seed := range uint64(3) {
+			s := newBudgetSimulation(seed, spreadPolicy(), largeFleet(90))
+			s.runUntil(rampUp + servingTime)
+			conflicts, calls := s.conflicts, s.writes+s.reads
+			s.killAll(time.Second)
+			s.runUntil(s.now + servingTime)
+			t.Logf("seed %d: %d calls, %d conflicts after the loss", seed, s.writes+s.reads-calls, s.conflicts-conflicts)
+			So(s.conflicts-conflicts, ShouldBeLessThanOrEqualTo, len(s.nodes))
+		}
+	})
+}
+
 // BenchmarkLargeFleet measures what the budgets of a fleet without faults cost at
 // several sizes: with and without callers being directed to part of the
 // instances, and with and without combined updates.
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -99,7 +99,9 @@
 		switch {
 		case s.resumeAt > 0 && n.now >= s.resumeAt:
 			s.resumeAt, s.objectConflicts = 0, min(s.objectConflicts, 1)
-			n.readLedger(s)
+			if !n.leaveToWriter(s) {
+				n.readLedger(s)
+			}
 		case s.delegation != nil && n.now >= s.delegation.timeout:
 			n.delegationTimedOut(s)
 		case s.settle || s.failures > 0 || n.book.Dirty(s.index) || n.remoteDue(s):
@@ -425,11 +427,14 @@
 		return
 	}
 	s.objectConflicts++
+	n.reconcileAccounts(s)
+	if n.leaveToWriter(s) {
+		return
+	}
 	if s.objectConflicts > maxImmediateRetries {
 		n.resumeAfterDelay(s, contentionDelayMax)
 		return
 	}
-	n.reconcileAccounts(s)
 	n.continueLedgerUpdate(s)
 }
 
--- a/core/node/ledgerwriter.go
+++ b/core/node/ledgerwriter.go
@@ -188,6 +188,21 @@
 	n.readLedger(s)
 }
 
+// leaveToWriter sends the operations of an update that met another one to the
+// writer, and reports whether there is one besides this instance.
+func (n *Node) leaveToWriter(s *ledgerShard) bool {
+	writer := n.ledgerWriter(s)
+	if writer == n.settings.Name {
+		return false
+	}
+	if ops := n.prepareOperations(s); len(ops) > 0 {
+		n.delegate(s, writer, ops)
+	} else {
+		n.finishLedgerUpdate(s)
+	}
+	return true
+}
+
 // ledgerRequested accepts a peer's operations for the next write, or refuses
 // them if this instance can't reach the ledger.
 func (n *Node) ledgerRequested(p *peer, m *event.LedgerRequest) {
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -55,7 +55,10 @@
 	targets map[string]*target
 	peers   map[string]*peer
 	self    event.Instance
-	facts   map[factKey]*fact
+	// selfListed is set once an instance list has contained this instance. Before,
+	// the list may lack peers as well.
+	selfListed bool
+	facts      map[factKey]*fact
 	// burstDue is set if peers should learn of a change before the next
 	// heartbeat.
 	burstDue       bool
@@ -131,7 +134,7 @@
 		listed[in.Name] = true
 		switch {
 		case in.Name == n.settings.Name:
-			n.members.self = in
+			n.members.self, n.members.selfListed = in, true
 		case in.Role == event.RoleRouter:
 			n.peerListed(in)
 		default:
--- a/core/node/servinginstances.go
+++ b/core/node/servinginstances.go
@@ -147,5 +147,8 @@
 	return max(1, n.currentServing().count)
 }
 
-// servesCallers reports whether callers are directed to this instance.
-func (n *Node) servesCallers() bool { return n.namesAll() || n.currentServing().self }
+// servesCallers reports whether callers are directed to this instance. An
+// instance that does not know its peers yet can't tell.
+func (n *Node) servesCallers() bool {
+	return n.namesAll() || n.members.selfListed && n.currentServing().self
+}
--- a/core/node/servinginstances_test.go
+++ b/core/node/servinginstances_test.go
@@ -28,7 +28,7 @@
 		}
 		entries = append(entries, in)
 	}
-	h.list(false, entries...)
+	h.list(false, append(entries, h.node.members.self)...)
 	h.advance(100 * time.Millisecond)
 	return h, entries
 }
