Write a peer's ledger request once if it arrives again

A request that was sent again because a caller now waits replaced its earlier copy in the writer's queue. If that copy was being written, the new one stayed and was written once more, without effect but as one more call of the platform.

Found by reading. Test: TestCombinedLedgerUpdates, 'a request that arrives again while it is written is not written again' (two writes before). Own and peers' operations now share the step that sets the budget's total.

--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -103,7 +103,7 @@
 				n.readLedger(s)
 			}
 		case s.delegation != nil && n.now >= s.delegation.timeout:
-			n.delegationTimedOut(s)
+			n.abandonDelegation(s, "timed out")
 		case s.settle || s.failures > 0 || n.book.Dirty(s.index) || n.remoteDue(s):
 			n.startLedgerUpdate(s)
 		}
@@ -358,11 +358,7 @@
 func (n *Node) updateLedger(s *ledgerShard, ops map[string]*ledger.Operation) {
 	next := s.shard.Clone()
 	for _, name := range sortedKeys(ops) {
-		b := next.Budget(name)
-		if c := n.configs.index.Budget(name); c != nil {
-			b.SetTarget(c.PrepaidTokens, n.configs.index.Generation)
-		}
-		b.Apply(*ops[name])
+		n.budgetInForce(next, name).Apply(*ops[name])
 	}
 	remote := slices.Clone(s.remote)
 	n.applyRemote(next, remote)
@@ -398,6 +394,16 @@
 	})
 }
 
+// budgetInForce returns a budget of the next version of a shard, with the total
+// of the configuration in force.
+func (n *Node) budgetInForce(next *ledger.Shard, name string) *ledger.Budget {
+	b := next.Budget(name)
+	if c := n.configs.index.Budget(name); c != nil {
+		b.SetTarget(c.PrepaidTokens, n.configs.index.Generation)
+	}
+	return b
+}
+
 const (
 	// conflictBackoffBase and conflictBackoffMax bound the backoff after
 	// conflicts that carry no object: from a few round trips to the platform up
--- a/core/node/ledgerwriter.go
+++ b/core/node/ledgerwriter.go
@@ -174,8 +174,6 @@
 	s.shard, s.known, s.summary, s.seenAt = &ledger.Shard{Budgets: budgets}, false, true, n.now
 }
 
-func (n *Node) delegationTimedOut(s *ledgerShard) { n.abandonDelegation(s, "timed out") }
-
 // abandonDelegation continues the update of a shard without the writer, by a
 // write of this instance: the operations may or may not have taken effect, which
 // the ledger tells. Later updates go to another writer.
@@ -212,16 +210,32 @@
 		return
 	}
 	s := n.ledgers.shards[m.Shard]
+	u = s.addRemote(u)
 	if m.Urgent {
-		u.due = n.now
+		u.Urgent, u.due = true, n.now
 	}
-	s.remote = append(slices.DeleteFunc(s.remote, func(o *remoteUpdate) bool { return o.peer == p.Name }), u)
 	n.reply(u, event.LedgerAccepted, nil)
 	if n.remoteDue(s) {
 		n.startLedgerUpdate(s)
 	}
 }
 
+// addRemote adds a request in place of an earlier one of its peer. If the request
+// itself has arrived before, it returns the earlier copy, which a write in flight
+// may contain.
+func (s *ledgerShard) addRemote(u *remoteUpdate) *remoteUpdate {
+	at := slices.IndexFunc(s.remote, func(o *remoteUpdate) bool { return o.peer == u.peer })
+	switch {
+	case at < 0:
+		s.remote = append(s.remote, u)
+	case s.remote[at].ID == u.ID && s.remote[at].holder == u.holder:
+		return s.remote[at]
+	default:
+		s.remote[at] = u
+	}
+	return u
+}
+
 // validRequest reports whether a request concerns a known shard and contains only
 // operations of its sender.
 func (n *Node) validRequest(u *remoteUpdate) bool {
@@ -249,10 +263,7 @@
 func (n *Node) applyRemote(next *ledger.Shard, remote []*remoteUpdate) {
 	for _, u := range remote {
 		for _, name := range sortedKeys(u.Operations) {
-			b := next.Budget(name)
-			if c := n.configs.index.Budget(name); c != nil {
-				b.SetTarget(c.PrepaidTokens, n.configs.index.Generation)
-			}
+			b := n.budgetInForce(next, name)
 			b.Apply(n.limited(b, *u.Operations[name], u.Urgent))
 		}
 	}
--- a/core/node/ledgerwriter_test.go
+++ b/core/node/ledgerwriter_test.go
@@ -128,6 +128,17 @@
 			}}})
 			So(s.delegation, ShouldNotBeNil)
 		})
+		Convey("a request that arrives again while it is written is not written again", func() {
+			writer := f.nodes[f.writer]
+			op := &ledger.Operation{Holder: ledger.Holder(f.other + "/1"), Sequence: 99, Want: 5000}
+			m := event.LedgerRequest{Shard: writer.node.ledgers.shardOf("b").index, ID: 99, Operations: map[string]*ledger.Operation{"b": op}, Urgent: true}
+			for range 2 {
+				f.step(writer, event.Event{PeerReceived: &event.PeerReceived{From: f.other, Incarnation: "1", Message: event.PeerMessage{LedgerRequest: &m}}})
+			}
+			before := f.writes[f.writer]
+			f.runFor(100 * time.Millisecond)
+			So(f.writes[f.writer]-before, ShouldEqual, 1)
+		})
 		Convey("a shard that doesn't exist is refused", func() {
 			for _, shard := range []int{-1, 99} {
 				m := event.PeerMessage{LedgerRequest: &event.LedgerRequest{Shard: shard, ID: 1}}
