Write the whole log backlog at once on Sync

Cause: while lines were queued, the writer's goroutine chose at random between the next batch, with a delay of 200 ms, and the waiting Sync. Sync gives up after a second, so that one in 32 failed with five batches queued, and a process that ended then lost its last log lines. Not load: load only lets the backlog stay.

A Sync now also ends the delay of a batch.

--- a/fleet/logring/logring.go
+++ b/fleet/logring/logring.go
@@ -93,10 +93,14 @@
 		select {
 		case line := <-r.lines:
 			batch = r.dequeue(batch, line)
-			time.Sleep(batchDelay)
 		case done := <-r.flush:
-			r.write(w, r.fillBatch(batch, ringBytes))
-			close(done)
+			r.writeAll(w, batch, done)
+			continue
+		}
+		select {
+		case <-time.After(batchDelay):
+		case done := <-r.flush: // must not wait for the delays of all queued batches
+			r.writeAll(w, batch, done)
 			continue
 		}
 		batch = r.fillBatch(batch, batchBytes)
@@ -108,6 +112,12 @@
 	}
 }
 
+// writeAll writes a batch and all queued lines, and closes done.
+func (r *Ring) writeAll(w io.Writer, batch []byte, done chan struct{}) {
+	r.write(w, r.fillBatch(batch, ringBytes))
+	close(done)
+}
+
 // fillBatch appends queued lines until the batch has about limit bytes.
 func (r *Ring) fillBatch(batch []byte, limit int) []byte {
 	for len(batch) < limit {
