Make the work for a request independent of instances times targets

Cause: for each target that may serve a request, the core counted the listed peers to divide the target's connections by them: 75,000 steps for one request. The names of all targets were sorted for each request, and the work of the peers was added up into a new map.

--- a/core/node/dispatch.go
+++ b/core/node/dispatch.go
@@ -111,8 +111,8 @@
 // time.
 func (n *Node) capacity(serves string) int {
 	sum := 0
-	for _, t := range n.members.targets {
-		if t.serves(serves) && t.usable(n.now) {
+	for _, t := range n.members.targetsOf(serves) {
+		if t.usable(n.now) {
 			sum += n.concurrencyLimit(t)
 		}
 	}
--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -83,6 +83,7 @@
 	if t == nil || t.Address != in.Address {
 		t = &target{knownSince: n.now, limiter: limit.New(), prefixes: routing.NewPrefixes()}
 		n.members.targets[in.Name] = t
+		n.members.invalidateTargetCaches()
 		if f := n.members.facts[factKey{event.FactLeaving, in.Name, in.Address}]; f != nil {
 			t.markLeaving(f.confirmed)
 		}
@@ -112,6 +113,7 @@
 	}
 	if t.inFlight == 0 && n.now-t.unlistedAt >= tombstoneTimeout {
 		delete(n.members.targets, t.Name)
+		n.members.invalidateTargetCaches()
 	}
 }
 
--- a/core/node/loads.go
+++ b/core/node/loads.go
@@ -133,16 +133,41 @@
 	}
 	p.loads.at, p.loads.requests = n.now, m.Requests
 	p.loads.parts[m.Part] = work
+	n.members.work.valid = false
 }
 
 // maxLoadParts is the largest accepted number of parts of a load message.
 const maxLoadParts = 1000
 
-// peerWork returns the sum of the live peers' work by target. If there are more
-// live peers than a load message reaches, it extrapolates from those with a
-// recent message to all that recently had work.
+// maxWorkAge is how long a sum of the peers' work is used while no load message
+// arrives: liveness of peers and the age of messages change slowly.
+const maxWorkAge = 25 * time.Millisecond
+
+// workSum is the sum of the peers' work by target, as of a time.
+type workSum struct {
+	at       time.Duration
+	valid    bool
+	byTarget map[string]placement.Work
+}
+
+// peerWork returns the sum of the live peers' work by target. The caller must not
+// modify or keep it.
 func (n *Node) peerWork() map[string]placement.Work {
-	sum := map[string]placement.Work{}
+	if w := &n.members.work; !w.valid || n.now-w.at >= maxWorkAge {
+		if w.byTarget == nil {
+			w.byTarget = map[string]placement.Work{}
+		}
+		clear(w.byTarget)
+		n.sumPeerWork(w.byTarget)
+		w.valid, w.at = true, n.now
+	}
+	return n.members.work.byTarget
+}
+
+// sumPeerWork adds up the live peers' work by target. If there are more live
+// peers than a load message reaches, it extrapolates from those with a recent
+// message to all that recently had work.
+func (n *Node) sumPeerWork(sum map[string]placement.Work) {
 	reporting, working, live := 0, 0, 0
 	for _, name := range n.members.peerNames() {
 		p := n.members.peers[name]
@@ -169,7 +194,6 @@
 			sum[target] = placement.Work{PrefillTokens: w.PrefillTokens * int64(working) / int64(reporting), Running: w.Running * working / reporting}
 		}
 	}
-	return sum
 }
 
 // leastWork chooses the target with the least work ahead of the request.
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -74,6 +74,8 @@
 	// the last one contained no work.
 	nextLoads      time.Duration
 	lastLoadsEmpty bool
+	// work is the work of the peers at each target.
+	work workSum
 	// demand is the rate of callers' requests, serving the instances that serve
 	// them as last chosen.
 	demand  demandState
@@ -93,6 +95,12 @@
 	// nil after a change of the peers.
 	ringNames   []string
 	sortedPeers []string
+	// listedPeers is the number of peers that are listed.
+	listedPeers int64
+	// sortedTargets and targetsByService cache the results of targetNames and
+	// targetsOf. They are nil after a change of the targets.
+	sortedTargets    []string
+	targetsByService map[string][]*target
 }
 
 func newMemberState() memberState {
@@ -108,7 +116,29 @@
 	return keys
 }
 
-func (m *memberState) targetNames() []string { return sortedKeys(m.targets) }
+// targetNames returns the targets' names in order. The caller must not modify the
+// slice.
+func (m *memberState) targetNames() []string {
+	if m.sortedTargets == nil {
+		m.sortedTargets = sortedKeys(m.targets)
+	}
+	return m.sortedTargets
+}
+
+// targetsOf returns the targets that serve a model or service, in order of their
+// names. The caller must not modify the slice.
+func (m *memberState) targetsOf(service string) []*target {
+	if m.targetsByService == nil {
+		m.targetsByService = map[string][]*target{}
+		for _, name := range m.targetNames() {
+			t := m.targets[name]
+			for _, served := range t.Serves {
+				m.targetsByService[served] = append(m.targetsByService[served], t)
+			}
+		}
+	}
+	return m.targetsByService[service]
+}
 
 // peerNames returns the peers' names in order. The caller must not modify the
 // slice.
@@ -122,6 +152,19 @@
 // invalidatePeerCaches clears what is derived from the set of peers.
 func (m *memberState) invalidatePeerCaches() { m.ringNames, m.sortedPeers = nil, nil }
 
+// invalidateTargetCaches clears what is derived from the set of targets.
+func (m *memberState) invalidateTargetCaches() { m.sortedTargets, m.targetsByService = nil, nil }
+
+// countListed updates listedPeers.
+func (m *memberState) countListed() {
+	m.listedPeers = 0
+	for _, p := range m.peers {
+		if p.listed {
+			m.listedPeers++
+		}
+	}
+}
+
 // instancesListed handles a new instance list. Targets that are not in it are
 // handled as unlisted, and peers that are no longer in it are removed. Attempts
 // in flight continue.
@@ -129,7 +172,9 @@
 	if e.Reconnected {
 		n.members.platformReconnectedAt = n.now
 	}
-	listed := map[string]bool{}
+	defer n.members.countListed()
+	n.members.invalidateTargetCaches()
+	listed := make(map[string]bool, len(e.Instances))
 	for _, in := range e.Instances {
 		listed[in.Name] = true
 		switch {
@@ -253,15 +298,7 @@
 
 // fleetSize counts the listed instances of the system, this one included, live
 // or not, so that the shares of a limit hold for all of them together.
-func (n *Node) fleetSize() int64 {
-	count := int64(1)
-	for _, p := range n.members.peers {
-		if p.listed {
-			count++
-		}
-	}
-	return count
-}
+func (n *Node) fleetSize() int64 { return 1 + n.members.listedPeers }
 
 // mayServe reports whether callers may be able to reach the peer although this
 // instance hears from no peer: what cuts this instance off from all peers need
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -66,8 +66,6 @@
 	avoidUntil time.Duration
 }
 
-func (t *target) serves(name string) bool { return slices.Contains(t.Serves, name) }
-
 // usableAsFallback reports whether the target may get attempts if no target is
 // usable.
 func (t *target) usableAsFallback() bool { return !t.leaving && !t.unreachable }
@@ -105,9 +103,8 @@
 // openTargets returns the allowed targets that have room. full is set if there
 // are others that have no room or whose state is not known well enough.
 func (n *Node) openTargets(r *request, allowed func(*target) bool) (open []*target, full bool) {
-	for _, name := range n.members.targetNames() {
-		t := n.members.targets[name]
-		if !t.serves(r.Serves) || !allowed(t) || slices.Contains(r.failedTargets, name) {
+	for _, t := range n.members.targetsOf(r.Serves) {
+		if !allowed(t) || slices.Contains(r.failedTargets, t.Name) {
 			continue
 		}
 		if t.inFlight >= n.concurrencyLimit(t) || !n.stateKnown(t) {
