Remove the grants of replaced instances from the ledger, also in large fleets

And in a simulation of 90 instances that are all killed, the writer still counted grants of killed holders as outstanding 15 s later: an instance learnt of a peer's new incarnation only from a message of that peer itself, and in a large fleet most peers send it one in many seconds. Outstanding grants are not refilled beyond the share of all grants, so that requests had to ask for each token.

A change of a peer's entry in the instance list now tells its incarnation too. A closed grant of a replaced incarnation is removed with a later write, after 10 s without an operation (design 0008 says why that overspends nothing). Grants of instances that are only missing from the list are kept.

--- a/core/budget/property_test.go
+++ b/core/budget/property_test.go
@@ -262,3 +262,22 @@
 		m.finish(rt)
 	})
 }
+
+// TestBudgetIsNotOverspentThroughCompaction also removes closed grants, even of
+// holders that are still running and that other holders got tokens from.
+func TestBudgetIsNotOverspentThroughCompaction(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newModel(rt)
+		actions := m.actions()
+		actions["compact"] = func(rt *rapid.T) {
+			s := m.shard()
+			b, h := s.Budget(budgetName), m.any(rt)
+			b.Close(h.name)
+			if b.Compact(h.name) {
+				raw, _ := s.Encode()
+				m.write(write{m.version, raw})
+			}
+		}
+		rt.Repeat(actions)
+	})
+}
--- a/core/node/budget_simulation_test.go
+++ b/core/node/budget_simulation_test.go
@@ -106,6 +106,8 @@
 	// they ask again.
 	named      []string
 	namedUntil time.Duration
+	// listPending is set while the instance list is to be sent to all instances.
+	listPending bool
 }
 
 // simulatedNode is one incarnation of an instance.
@@ -190,6 +192,7 @@
 	p.Grants = s.policy
 	p.Routing.Policy = config.RoutingLeastWork
 	p.Limits.Policy = config.LimitFixed
+	p.Limits.MaxConcurrencyPerTarget = 1000 // no request waits for a target
 	p.Addresses = config.AddressPolicy{TTLSeconds: 1}
 	if s.fleet.processors != nil {
 		p.Addresses.RequestsPerProcessor = simulatedRequestsPerProcessor
@@ -206,13 +209,40 @@
 		entries = append(entries, s.entry(n.name))
 	}
 	s.schedule(listDelay, func() { s.step(in, event.Event{InstancesListed: &event.InstancesListed{Instances: entries}}) })
+	s.listLater()
 	s.schedule(time.Duration(s.rng.Int64N(int64(hostedTickPeriod))), func() { s.tick(in) })
 }
 
+// changeDelay is the time from a change of an instance's entry until the others
+// learn of it.
+const changeDelay = 1500 * time.Millisecond
+
+// listLater sends all instances the instance list after changeDelay, once for all
+// changes until then.
+func (s *budgetSimulation) listLater() {
+	if s.listPending {
+		return
+	}
+	s.listPending = true
+	s.schedule(changeDelay, func() {
+		s.listPending = false
+		entries := []event.Instance{targetEntry("t1"), targetEntry("t2")}
+		for _, in := range s.nodes {
+			entries = append(entries, s.entry(in.name))
+		}
+		for _, in := range slices.Clone(s.nodes) {
+			if !s.cut[in.name] {
+				s.step(in, event.Event{InstancesListed: &event.InstancesListed{Instances: entries}})
+			}
+		}
+	})
+}
+
 func (s *budgetSimulation) entry(name string) event.Instance {
 	in := event.Instance{Name: name, Role: event.RoleRouter, Address: name + ":1", PeerAddress: name + ":2", State: event.StateLive}
+	index := slices.IndexFunc(s.nodes, func(n *simulatedNode) bool { return n.name == name })
+	in.Incarnation = fmt.Sprint(s.nodes[index].incarnation)
 	if s.fleet.processors != nil {
-		index := slices.IndexFunc(s.nodes, func(n *simulatedNode) bool { return n.name == name })
 		in.DatagramAddress, in.ProcessorMillis = name+":3", s.fleet.processors(index)
 	}
 	return in
--- a/core/node/gonegrants.go
+++ b/core/node/gonegrants.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -16,6 +17,9 @@
 	// instance has replaced.
 	missingAfter  = 10 * time.Second
 	replacedAfter = 2 * time.Second
+	// compactAfter is how long a replaced incarnation must have made no operation
+	// before its closed grants are removed. Meanwhile receivers claim what it sent.
+	compactAfter = 10 * time.Second
 	// refreshPeriod is the minimum time between two reads that only refresh
 	// this instance's view of the ledger; refreshPerInstance, for each live
 	// instance, limits such reads of the whole fleet to 200 per second.
@@ -105,24 +109,49 @@
 	return true
 }
 
-// closeGoneGrants closes the grants of holders that are gone. It is safe at any
-// time, even if the holder is still running: what it may spend stays reserved
-// for it, and its next report corrects the charge.
+// closeGoneGrants closes the grants of holders that are gone and removes those of
+// replaced incarnations that were closed before. Closing is safe at any time, even
+// if the holder is still running: what it may spend stays reserved for it, and its
+// next report corrects the charge.
 func (n *Node) closeGoneGrants(s *ledger.Shard) {
 	for _, g := range n.goneGrants(s) {
-		s.Budgets[g.budget].Close(g.holder)
+		if b := s.Budgets[g.budget]; g.compact {
+			b.Compact(g.holder)
+			delete(n.ledgers.refresh.idle, g.grantKey)
+		} else {
+			b.Close(g.holder)
+		}
 	}
 }
 
-// goneGrants lists the open grants of a shard whose holders are gone.
-func (n *Node) goneGrants(s *ledger.Shard) []grantKey {
-	var gone []grantKey
+// goneGrant is a grant whose holder is gone.
+type goneGrant struct {
+	grantKey
+	// compact is set if the grant is closed and can be removed.
+	compact bool
+}
+
+// closesAny reports whether grants are to be closed. Removing closed ones is not
+// worth a write of its own.
+func closesAny(gone []goneGrant) bool {
+	return slices.ContainsFunc(gone, func(g goneGrant) bool { return !g.compact })
+}
+
+// goneGrants lists the open grants of a shard whose holders are gone, and the
+// closed ones that can be removed.
+func (n *Node) goneGrants(s *ledger.Shard) []goneGrant {
+	var gone []goneGrant
 	for _, name := range sortedKeys(s.Budgets) {
 		b := s.Budgets[name]
 		for _, h := range b.HolderNames() {
 			key := grantKey{name, h}
 			wait, presumed := n.presumedGone(h)
-			if !presumed || b.Grants[h].Closed {
+			closed := b.Grants[h].Closed
+			if closed {
+				presumed = presumed && wait == replacedAfter
+				wait = compactAfter
+			}
+			if !presumed {
 				delete(n.ledgers.refresh.idle, key)
 				continue
 			}
@@ -132,7 +161,7 @@
 				n.ledgers.refresh.idle[key] = idle
 			}
 			if n.now-idle.since >= wait {
-				gone = append(gone, key)
+				gone = append(gone, goneGrant{key, closed})
 			}
 		}
 	}
@@ -150,7 +179,7 @@
 		return replacedAfter, h != n.holder
 	}
 	p := n.members.peers[name]
-	if p != nil && p.heardDirectly && p.incarnation != incarnation {
+	if p != nil && p.incarnation != "" && p.incarnation != incarnation {
 		return replacedAfter, true
 	}
 	if p != nil && p.listed {
--- a/core/node/gonegrants_test.go
+++ b/core/node/gonegrants_test.go
@@ -64,6 +64,19 @@
 				So(reads, ShouldBeLessThanOrEqualTo, 3*21) // three instances, two reads per second each
 			})
 		})
+		Convey("the closed grant is removed with a later write and stays charged", func() {
+			w.startNode("n1")
+			w.listInstances()
+			w.runFor(5 * time.Second)
+			charged := w.ledgerBudgets()["b"].SettledTotal()
+			for _, key := range []string{"after closing", "after compactAfter"} {
+				c := w.send("n2", exampleRequest(key, 50, true))
+				w.runFor(compactAfter + 2*time.Second)
+				So(w.answers[c].complete, ShouldBeTrue)
+			}
+			So(grant(), ShouldBeNil)
+			So(w.ledgerBudgets()["b"].SettledTotal(), ShouldEqual, charged+w.consumed("b")-spent)
+		})
 		Convey("the grant of an instance that is missing from the list for a while is closed, and refunded when the instance comes back", func() {
 			w.nodes["n1"].paused = true
 			w.listWithout("n1")
--- a/core/node/largefleet_test.go
+++ b/core/node/largefleet_test.go
@@ -121,6 +121,33 @@
 	})
 }
 
+func TestLossesOfLargeFleetLeaveNothingInTheLedger(t *testing.T) {
+	// Guards against an object that grows with each restart until the platform refuses it.
+	Convey("Some time after a loss of all processes the ledger holds no grant of them", t, func() {
+		s := newBudgetSimulation(1, spreadPolicy(), largeFleet(90))
+		s.runUntil(rampUp + servingTime)
+		for range 2 {
+			s.killAll(time.Second)
+			s.runUntil(s.now + 2*compactAfter)
+			shard, err := ledger.Decode(s.store.Value)
+			So(err, ShouldBeNil)
+			closed, open := 0, 0
+			for _, b := range shard.Budgets {
+				for _, g := range b.Grants {
+					if g.Closed {
+						closed++
+					} else {
+						open++
+					}
+				}
+			}
+			t.Logf("%d open and %d closed grants, %d bytes", open, closed, len(s.store.Value))
+			So(closed, ShouldEqual, 0)
+		}
+		So(s.audit().Overspent, ShouldEqual, 0)
+	})
+}
+
 // BenchmarkLargeFleet measures what the budgets of a fleet without faults cost at
 // several sizes: with and without callers being directed to part of the
 // instances, and with and without combined updates.
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -367,7 +367,7 @@
 	// Writes a shard that has just been read if operations are due or grants of
 	// holders that are gone are to be closed, and ends the update otherwise.
 	ops := n.prepareOperations(s)
-	if len(ops) == 0 && !s.hasRemoteOperations() && !(n.closesGrantsIn(s) && len(n.goneGrants(s.shard)) > 0) {
+	if len(ops) == 0 && !s.hasRemoteOperations() && !(n.closesGrantsIn(s) && closesAny(n.goneGrants(s.shard))) {
 		n.answerRemote(s, s.remote)
 		n.finishLedgerUpdate(s)
 		return
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -40,9 +40,12 @@
 	// nextStartupState is when the peer may next be sent the state that it needs
 	// to get ready.
 	nextStartupState time.Duration
-	incarnation      string
-	generation       uint64
-	stopping         bool
+	// incarnation is the last one that the peer itself or a change of its entry in
+	// the instance list has told; empty if unknown. In a large fleet most peers are
+	// heard directly only now and then.
+	incarnation string
+	generation  uint64
+	stopping    bool
 	// stoppingAt and silentAt are when it was last confirmed that the peer is
 	// stopping or silent.
 	stoppingAt time.Duration
@@ -206,6 +209,9 @@
 	if p == nil {
 		p = n.addPeer(in.Name)
 	}
+	if in.Incarnation != "" && (p.incarnation == "" || p.Instance.Incarnation != "" && p.Instance.Incarnation != in.Incarnation) {
+		p.incarnation = in.Incarnation
+	}
 	p.Instance, p.listed = in, true
 }
 
