Leave a connection to a peer that has gone silent

Connections between instances may go silent for good, without a reset, while new ones work. A message on such a connection ended after its second, and so did each later one: the connection was kept, and gRPC probes it after ten seconds at the earliest. The peer then heard no heartbeat, configuration, token or ledger reply of this instance for as long.

A connection on which a message got no answer in time is now replaced, and the sockets have the same options as those to targets and the platform, so that the kernel gives up after 1.5 s of unacknowledged data.

TestSenderLeavesSilentConnection failed before (no message in 3 s).

--- a/fleet/peers/peers.go
+++ b/fleet/peers/peers.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
+	"net"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 	"plantainfield.example/core/event"
 	"plantainfield.example/fleet/peers/peerpb"
 	"plantainfield.example/fleet/runtime"
+	"plantainfield.example/fleet/upstream"
 )
 
 const (
@@ -122,30 +124,45 @@
 
 // sendLoop sends the messages for one peer in order.
 func (s *Sender) sendLoop(ctx context.Context, address string, box <-chan event.SendPeer) {
-	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnectBackoff, MinConnectTimeout: sendTimeout}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(maxMessageBytes)))
+	conn, err := dial(address)
 	if err != nil {
 		return
 	}
-	defer conn.Close()
-	client := peerpb.NewPeerClient(conn)
+	defer func() { conn.Close() }()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-box:
-			s.send(ctx, client, m)
+			if err := s.send(ctx, peerpb.NewPeerClient(conn), m); status.Code(err) != codes.DeadlineExceeded {
+				continue
+			}
+			// The connection may have gone silent although a new one would work.
+			conn.Close()
+			if conn, err = dial(address); err != nil {
+				return
+			}
 		}
 	}
 }
 
-func (s *Sender) send(ctx context.Context, client peerpb.PeerClient, m event.SendPeer) {
+// dial returns a connection to a peer, which is established when it is used.
+func dial(address string) (*grpc.ClientConn, error) {
+	dialer := net.Dialer{KeepAlive: -1, Control: upstream.SetSocketOptions}
+	return grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, to string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", to) }),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnectBackoff, MinConnectTimeout: sendTimeout}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(maxMessageBytes)))
+}
+
+// send sends one message; a nil error means that the peer has received it.
+func (s *Sender) send(ctx context.Context, client peerpb.PeerClient, m event.SendPeer) error {
 	raw, err := json.Marshal(m.Message)
 	if err != nil {
-		return
+		return err
 	}
 	ctx, cancel := context.WithTimeout(metadata.AppendToOutgoingContext(ctx, metadataKey, s.peerKey), sendTimeout)
 	defer cancel()
-	_, _ = client.Deliver(ctx, &peerpb.Envelope{From: s.name, Incarnation: s.incarnation, Message: raw})
+	_, err = client.Deliver(ctx, &peerpb.Envelope{From: s.name, Incarnation: s.incarnation, Message: raw})
+	return err
 }
--- a/fleet/peers/peers_test.go
+++ b/fleet/peers/peers_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"net"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/grpc"
@@ -13,6 +15,7 @@
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
+	"plantainfield.example/core/event"
 	"plantainfield.example/core/node"
 	"plantainfield.example/fleet/peers/peerpb"
 	"plantainfield.example/fleet/runtime"
@@ -45,3 +48,105 @@
 		So(send(`{"heartbeat":{}}`, metadataKey, sharedKey), ShouldEqual, codes.OK)
 	})
 }
+
+// silentProxy forwards connections to an address. Connections that are open when
+// silence is called stay open and forward nothing more; new ones work.
+type silentProxy struct {
+	listener net.Listener
+	mu       sync.Mutex
+	// silenced is closed by the next call of silence. It is guarded by mu.
+	silenced chan struct{}
+}
+
+func newSilentProxy(to string) (*silentProxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &silentProxy{listener: l, silenced: make(chan struct{})}
+	go func() {
+		for {
+			from, err := l.Accept()
+			if err != nil {
+				return
+			}
+			target, err := net.Dial("tcp", to)
+			if err != nil {
+				from.Close()
+				continue
+			}
+			p.mu.Lock()
+			silenced := p.silenced
+			p.mu.Unlock()
+			go forward(target, from, silenced)
+			go forward(from, target, silenced)
+		}
+	}()
+	return p, nil
+}
+
+func forward(to, from net.Conn, silenced <-chan struct{}) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		select {
+		case <-silenced:
+			continue
+		default:
+		}
+		if n > 0 {
+			_, _ = to.Write(buffer[:n])
+		}
+		if err != nil {
+			to.Close()
+			return
+		}
+	}
+}
+
+func (p *silentProxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.silenced)
+	p.silenced = make(chan struct{})
+}
+
+// receiver is a peer that signals each message that it receives.
+type receiver struct {
+	peerpb.UnimplementedPeerServer
+	received chan struct{}
+}
+
+func (r receiver) Deliver(context.Context, *peerpb.Envelope) (*peerpb.Receipt, error) {
+	r.received <- struct{}{}
+	return &peerpb.Receipt{}, nil
+}
+
+func TestSenderLeavesSilentConnection(t *testing.T) {
+	// Guards against a peer that hears nothing more because a connection has gone silent.
+	Convey("After a connection went silent without a reset, messages arrive over a new one", t, func() {
+		peer := receiver{received: make(chan struct{}, outboxMessages)}
+		server := grpc.NewServer()
+		peerpb.RegisterPeerServer(server, peer)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		go func() { _ = server.Serve(l) }()
+		defer server.Stop()
+		proxy, err := newSilentProxy(l.Addr().String())
+		So(err, ShouldBeNil)
+		defer proxy.listener.Close()
+		messages := make(chan event.SendPeer)
+		go NewSender("b", "1", sharedKey).Run(t.Context(), messages)
+		m := event.SendPeer{To: "a", Address: proxy.listener.Addr().String(), Message: event.PeerMessage{Heartbeat: &event.Heartbeat{}}}
+		messages <- m
+		<-peer.received
+		proxy.silence()
+		messages <- m // is lost
+		messages <- m
+		select {
+		case <-peer.received:
+		case <-time.After(3 * sendTimeout):
+			So("no message", ShouldEqual, "arrived")
+		}
+	})
+}
