Refuse at once what a spent budget can't cover

Callers were refused after 36 to 130 ms and rounds of messages to all peers; calls of the platform are priced.

Cause: each waiting request started an update, which also refilled and recorded for all other budgets; and a request that needs more than all that is left of its budget still asked the ledger and the peers.

Now a request is refused at once if a view of the ledger that is at most 2 s old shows less unspent in the whole budget, at all holders together, than the request needs at its most; and only an update that is due in the background refills grants and records received tokens.

--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -61,6 +61,9 @@
 	Excess int64
 	// Waiting is set while requests wait for tokens; nothing is returned then.
 	Waiting bool
+	// Background is set if an update is due even if no request waits for it. An
+	// update for waiting requests of other budgets refills nothing.
+	Background bool
 	// Stopping is set once the instance is stopping; it then holds no tokens in
 	// advance.
 	Stopping bool
@@ -149,11 +152,11 @@
 	case op.Want > 0:
 	case s.Excess > 0 && available > 0 && !s.Waiting:
 		op.Return = min(available, s.Excess)
-	case available < s.lowWater(wanted) && s.refillable() > 0 && (a.sequence > 0 || s.Policy.Policy == config.GrantSpread):
+	case s.Background && available < s.lowWater(wanted) && s.refillable() > 0 && (a.sequence > 0 || s.Policy.Policy == config.GrantSpread):
 		op.Want = min(wanted-available, s.refillable())
 	case s.returnDue(available, wanted):
 		op.Return = available - wanted
-	case a.transfers.unrecorded() > 0: // records received tokens, so that they can be transferred on
+	case s.Background && a.transfers.unrecorded() > 0: // records received tokens, so that they can be transferred on
 	case settleDue && a.reportDue():
 	default:
 		return nil
--- a/core/budget/policy_test.go
+++ b/core/budget/policy_test.go
@@ -22,7 +22,7 @@
 	b := &ledger.Budget{Prepaid: prepaid, Target: prepaid, Grants: map[ledger.Holder]*ledger.Grant{}}
 	return b, func(a *Account, now time.Duration) bool {
 		s := Sizing{
-			Policy: policy, Prepaid: b.Prepaid, LedgerAvailable: b.Available(), Instances: 4, Excess: b.Committed() - b.Target,
+			Policy: policy, Prepaid: b.Prepaid, LedgerAvailable: b.Available(), Instances: 4, Background: true, Excess: b.Committed() - b.Target,
 			Unspent: max(0, b.Target-b.SettledTotal()), Outstanding: b.Outstanding(),
 		}
 		op := a.Prepare(now, self, s, false)
--- a/core/budget/property_test.go
+++ b/core/budget/property_test.go
@@ -88,7 +88,7 @@
 	s := m.shard()
 	b := s.Budget(budgetName)
 	h.account.Reconcile(b, h.name)
-	sizing := Sizing{Policy: m.policy, Prepaid: b.Prepaid, LedgerAvailable: b.Available(), Instances: int64(len(m.holders))}
+	sizing := Sizing{Policy: m.policy, Prepaid: b.Prepaid, LedgerAvailable: b.Available(), Instances: int64(len(m.holders)), Background: settle}
 	var op *ledger.Operation
 	if final {
 		op = h.account.PrepareFinal(h.name)
--- a/core/node/budget_scenarios_test.go
+++ b/core/node/budget_scenarios_test.go
@@ -220,3 +220,25 @@
 		So(refused, ShouldEqual, 0)
 	})
 }
+
+func TestSpentBudgetsCauseFewUpdates(t *testing.T) {
+	// Guards against updates of the ledger that can't bring any tokens.
+	Convey("When budgets are spent, only requests that what is left may cover cause updates, beside those in the background", t, func() {
+		const measured = 5 * time.Second
+		for seed := range uint64(3) {
+			s := newBudgetSimulation(seed, spreadPolicy(), smallFleet(400_000))
+			s.runUntil(20 * time.Second)
+			writes, requests := s.writes, len(s.requests)
+			s.runUntil(s.now + measured)
+			coverable := 0
+			for _, r := range s.requests[requests:] {
+				if r.coverable {
+					coverable++
+				}
+			}
+			t.Logf("seed %d: %d writes in %v, %d coverable of %d requests, %v", seed, s.writes-writes, measured, coverable, len(s.requests)-requests, s.audit())
+			So(s.writes-writes, ShouldBeLessThanOrEqualTo, coverable+int(measured/combineDelay))
+			So(s.audit().Overspent, ShouldEqual, 0)
+		}
+	})
+}
--- a/core/node/budget_simulation_test.go
+++ b/core/node/budget_simulation_test.go
@@ -136,8 +136,11 @@
 	// guaranteed is set if guaranteedPerMille of the budget covered the request
 	// when it arrived.
 	guaranteed bool
-	refused    errkind.Kind
-	delivered  int64
+	// coverable is set if what was left of the budget covered the request, without
+	// regard to other requests in flight.
+	coverable bool
+	refused   errkind.Kind
+	delivered int64
 }
 
 func newBudgetSimulation(seed uint64, grants config.GrantPolicy, fleet simulatedFleet) *budgetSimulation {
@@ -470,6 +473,7 @@
 	}
 	r := &simulatedRequest{budget: budgetName, worstCase: worstCase, total: worstCase/4 + s.rng.Int64N(worstCase/2), arrived: s.now}
 	r.guaranteed = worstCase+s.charged(budgetName) <= s.totals[budgetName]*guaranteedPerMille/1000
+	r.coverable = worstCase+s.settled[budgetName] <= s.totals[budgetName]
 	s.requests = append(s.requests, r)
 	s.recent[budgetName] = append(s.recent[budgetName], r)
 	s.handle++
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -293,7 +293,7 @@
 func (n *Node) sizing(s *ledgerShard, name string) budget.Sizing {
 	sz := budget.Sizing{
 		Policy: n.configs.index.Document.Policies.Grants, Instances: n.servingInstances(), OnDemand: !n.servesCallers(),
-		Waiting: n.waitsForTokens(name), Stopping: n.stopping,
+		Waiting: n.waitsForTokens(name), Background: n.backgroundUpdateDue(s), Stopping: n.stopping,
 	}
 	if b := n.configs.index.Budget(name); b != nil {
 		sz.Prepaid, sz.LedgerAvailable, sz.Unspent = b.PrepaidTokens, b.PrepaidTokens, b.PrepaidTokens
@@ -313,6 +313,20 @@
 	return sz
 }
 
+// maxUnspentAge is the maximum age of a view of the ledger that tells for certain
+// that a budget does not cover a request. What is unspent only decreases, except
+// when a holder that was presumed gone reports again.
+const maxUnspentAge = 2 * time.Second
+
+// exceedsBudget reports whether a request needs more than all that was left of its
+// budget, in the ledger and at all holders, when the ledger was last seen.
+func (n *Node) exceedsBudget(s *ledgerShard, r *request) bool {
+	if n.refillPeriod() == 0 || !s.known && !s.summary || n.now-s.seenAt > maxUnspentAge || s.shard.Budgets[r.Budget] == nil {
+		return false
+	}
+	return r.WorstCaseTokens > n.sizing(s, r.Budget).Unspent
+}
+
 // readLedger reads the shard, closes the open operations that took effect and
 // continues the update with the others.
 func (n *Node) readLedger(s *ledgerShard) {
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -200,6 +200,12 @@
 	r.phase = phaseWaitingForGrant
 	r.budgetWait = budgetWait{since: n.now}
 	s := n.ledgers.shardOf(r.Budget)
+	if n.exceedsBudget(s, r) {
+		r.refusal = errkind.BudgetExhausted
+		n.logTokensUnavailable(r, nil)
+		n.finishRefused(r, errkind.BudgetExhausted)
+		return
+	}
 	if s.inFlight && s.failures > 0 { // the platform has just failed to answer
 		n.askPeers(r, errkind.BudgetUnavailable)
 		return
