Decide once for an update whether it is due in the background

Sizing one grant looked at all budgets of the shard to tell whether a background update was due, so that preparing an update took budgets x budgets steps, and so did each request that a budget might not cover. Read in review; 40 budgets hide it.

The answer is now kept with the update, and a request is compared with what is unspent without sizing a grant.

--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -98,7 +98,7 @@
 	limit := equalPart
 	switch {
 	case a.fleet.windows < unevenWindows:
-		if s.OnDemand { // its callers stay here, so the others probably have few of this budget
+		if s.OnDemand { // its callers stay here, so that the others probably hold few tokens
 			limit = max(equalPart, (s.spreadable()-s.Outstanding)/unknownPartDivisor)
 		}
 	case own*float64(s.Instances) > unevenRatio*fleet:
--- a/core/node/gonegrants.go
+++ b/core/node/gonegrants.go
@@ -69,6 +69,7 @@
 			continue
 		}
 		r.cursor = (r.cursor + i + 1) % count
+		s.background = n.backgroundUpdateDue(s)
 		n.beginLedgerUpdate(s)
 		n.refreshView(s)
 		return
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -25,6 +25,9 @@
 	// conflict, a lost result or a failed call, when the view may be outdated.
 	known    bool
 	inFlight bool
+	// background is set if the update in flight, or else the last one, was due
+	// without a request that waits for it.
+	background bool
 	// startedAt is when the update in flight, or else the last one, started.
 	startedAt time.Duration
 	// settle is set when the settle period has ended, so that the next update
@@ -131,7 +134,8 @@
 	if n.now < s.nextUpdate {
 		return
 	}
-	if !n.backgroundUpdateDue(s) && len(n.waitingFor(s)) == 0 && !n.remoteDue(s) && (!n.stopping || n.requests.open() > 0) {
+	s.background = n.backgroundUpdateDue(s)
+	if !s.background && len(n.waitingFor(s)) == 0 && !n.remoteDue(s) && (!n.stopping || n.requests.open() > 0) {
 		return
 	}
 	n.prefetch(s)
@@ -293,7 +297,7 @@
 func (n *Node) sizing(s *ledgerShard, name string) budget.Sizing {
 	sz := budget.Sizing{
 		Policy: n.configs.index.Document.Policies.Grants, Instances: n.servingInstances(), OnDemand: !n.servesCallers(),
-		Waiting: n.waitsForTokens(name), Background: n.backgroundUpdateDue(s), Stopping: n.stopping,
+		Waiting: n.waitsForTokens(name), Background: s.background, Stopping: n.stopping,
 	}
 	if b := n.configs.index.Budget(name); b != nil {
 		sz.Prepaid, sz.LedgerAvailable, sz.Unspent = b.PrepaidTokens, b.PrepaidTokens, b.PrepaidTokens
@@ -302,10 +306,7 @@
 	if b == nil {
 		return sz
 	}
-	total := b.Target
-	if c := n.configs.index.Budget(name); c != nil && n.configs.index.Generation > b.Generation {
-		total = c.PrepaidTokens // the next operation writes it to the ledger
-	}
+	total := n.totalInForce(name, b)
 	sz.Prepaid = total
 	sz.LedgerAvailable = max(0, total-b.Committed())
 	sz.Excess = b.Committed() - total
@@ -321,10 +322,19 @@
 // exceedsBudget reports whether a request needs more than all that was left of its
 // budget, in the ledger and at all holders, when the ledger was last seen.
 func (n *Node) exceedsBudget(s *ledgerShard, r *request) bool {
-	if n.refillPeriod() == 0 || !s.known && !s.summary || n.now-s.seenAt > maxUnspentAge || s.shard.Budgets[r.Budget] == nil {
+	b := s.shard.Budgets[r.Budget]
+	if b == nil || n.refillPeriod() == 0 || !s.known && !s.summary || n.now-s.seenAt > maxUnspentAge {
 		return false
 	}
-	return r.WorstCaseTokens > n.sizing(s, r.Budget).Unspent
+	return r.WorstCaseTokens > n.totalInForce(r.Budget, b)-b.SettledTotal()
+}
+
+// totalInForce returns the total of a budget that the ledger holds.
+func (n *Node) totalInForce(name string, b *ledger.Budget) int64 {
+	if c := n.configs.index.Budget(name); c != nil && n.configs.index.Generation > b.Generation {
+		return c.PrepaidTokens // the next operation writes it to the ledger
+	}
+	return b.Target
 }
 
 // readLedger reads the shard, closes the open operations that took effect and
