--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -13,7 +13,7 @@
 	accounts map[string]*Account
 	// lastSettle is when the last settle period ended.
 	lastSettle time.Duration
-	// nextMeasurement is when the accounts' rates are measured next.
+	// nextMeasurement is the earliest time of the next measurement of the rates.
 	nextMeasurement time.Duration
 	shards          []bookShard
 }
@@ -75,8 +75,8 @@
 	return names
 }
 
-// measurePeriod is the time between two measurements of the accounts' rates. It
-// is short compared with the windows in which they are measured.
+// measurePeriod is the minimum time between two measurements of the accounts'
+// rates.
 const measurePeriod = rateWindow / 4
 
 // MeasureRates updates the accounts' rates of spending if that is due.
--- a/core/node/hostedcost_test.go
+++ b/core/node/hostedcost_test.go
@@ -143,8 +143,8 @@
 }
 
 const (
-	// costBatches is how often a cost is measured; the least time counts, since
-	// everything else on the machine only adds to it.
+	// costBatches is the number of measurements of a cost, of which the least
+	// counts: other work on the machine only adds to it.
 	costBatches = 30
 	// linearFactor is how much faster than linearly with instances and targets a
 	// cost may grow between the two fleets that are compared.
