Log what closing a grant charges, and what instances hold

The logs of a loss of instances could not tell tokens that were granted in advance and lost from those that requests in flight consumed. Now 'grants closed' says for each holder what is charged and how much of it no report covers, 'ledger updated' sums the latter up (also after closed grants are removed: the budget keeps the sum), and each instance logs what it holds free and reserved with each update, also where a peer writes for it.

No decision changes. go test ./core/ledger ./core/node passes.

--- a/core/budget/account.go
+++ b/core/budget/account.go
@@ -186,6 +186,9 @@
 // ClearShortfall resets the recorded shortfalls to 0.
 func (a *Account) ClearShortfall() { a.shortfall, a.minimum = 0, 0 }
 
+// Reserved returns the tokens that are set aside for attempts in flight.
+func (a *Account) Reserved() int64 { return a.reserved }
+
 // Busy reports whether reservations are open.
 func (a *Account) Busy() bool { return a.reserved > 0 }
 
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -39,6 +39,9 @@
 	// Settled is the spending of final grants that have been removed from
 	// Grants.
 	Settled int64 `json:"settled"`
+	// Unreported is the part of Settled that no holder reported as spent: what
+	// removed grants charged beyond the last report of their holders.
+	Unreported int64 `json:"unreported,omitempty"`
 	// Grants holds the open and closed grants by holder.
 	Grants map[Holder]*Grant `json:"grants,omitempty"`
 }
@@ -171,6 +174,18 @@
 	return sum
 }
 
+// UnreportedTotal returns the part of SettledTotal that no holder reported as
+// spent.
+func (b *Budget) UnreportedTotal() int64 {
+	sum := b.Unreported
+	for _, g := range b.Grants {
+		if g.Closed {
+			sum += g.Granted - g.Spent
+		}
+	}
+	return sum
+}
+
 // Outstanding returns what open grants may still spend.
 func (b *Budget) Outstanding() int64 { return b.Committed() - b.SettledTotal() }
 
@@ -235,6 +250,7 @@
 			s.Grants[h] = g.clone()
 		case g.Closed:
 			s.Settled += g.Granted
+			s.Unreported += g.Granted - g.Spent
 		default:
 			rest.Granted += g.Granted
 			rest.Spent += g.Spent
--- a/core/ledger/operation.go
+++ b/core/ledger/operation.go
@@ -164,6 +164,7 @@
 		return false
 	}
 	b.Settled += g.Granted
+	b.Unreported += g.Granted - g.Spent
 	delete(b.Grants, h)
 	return true
 }
--- a/core/node/gonegrants.go
+++ b/core/node/gonegrants.go
@@ -114,15 +114,36 @@
 // replaced incarnations that were closed before. Closing is safe at any time, even
 // if the holder is still running: what it may spend stays reserved for it, and its
 // next report corrects the charge.
-func (n *Node) closeGoneGrants(s *ledger.Shard) {
+// It returns what it closed, by holder.
+func (n *Node) closeGoneGrants(s *ledger.Shard) map[ledger.Holder]closedGrants {
+	closed := map[ledger.Holder]closedGrants{}
 	for _, g := range n.goneGrants(s) {
-		if b := s.Budgets[g.budget]; g.compact {
+		b := s.Budgets[g.budget]
+		switch {
+		case g.compact:
 			b.Compact(g.holder)
 			delete(n.ledgers.refresh.idle, g.grantKey)
-		} else {
-			b.Close(g.holder)
+		case b.Close(g.holder):
+			grant, c := b.Grants[g.holder], closed[g.holder]
+			closed[g.holder] = closedGrants{c.grants + 1, c.charged + grant.Granted, c.unreported + grant.Granted - grant.Spent}
 		}
 	}
+	return closed
+}
+
+// closedGrants sums up the grants of one holder that were closed: what they
+// charge and the part of it that the holder had not reported as spent, in tokens.
+type closedGrants struct {
+	grants              int
+	charged, unreported int64
+}
+
+// logClosedGrants logs the grants that an update has closed.
+func (n *Node) logClosedGrants(closed map[ledger.Holder]closedGrants) {
+	for _, h := range sortedKeys(closed) {
+		c := closed[h]
+		n.logChange("grants closed", "holder", string(h), "grants", c.grants, "charged", c.charged, "unreported", c.unreported)
+	}
 }
 
 // goneGrant is a grant whose holder is gone.
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -408,7 +408,7 @@
 	}
 	remote := slices.Clone(s.remote)
 	n.applyRemote(next, remote)
-	n.closeGoneGrants(next)
+	closed := n.closeGoneGrants(next)
 	raw, err := next.Encode()
 	if err != nil {
 		n.failLedgerUpdate(s)
@@ -426,6 +426,7 @@
 			s.version, s.shard, s.bytes, s.seenAt = r.Object.Version, next, len(raw), n.now
 			n.observeUpdateTime(s)
 			n.logLedgerUpdate(s, len(ops), len(remote))
+			n.logClosedGrants(closed)
 			n.reconcileAccounts(s)
 			n.answerRemote(s, remote)
 			n.finishLedgerUpdate(s)
@@ -515,20 +516,30 @@
 // logLedgerUpdate logs the state of a shard after an update, summed over its
 // budgets.
 func (n *Node) logLedgerUpdate(s *ledgerShard, operations, remote int) {
-	var prepaid, settled, outstanding, ownUnspent int64
+	var prepaid, settled, unreported, outstanding int64
 	grants := 0
 	for _, name := range sortedKeys(s.shard.Budgets) {
 		b := s.shard.Budgets[name]
 		prepaid += b.Prepaid
 		settled += b.SettledTotal()
+		unreported += b.UnreportedTotal()
 		outstanding += b.Outstanding()
 		grants += len(b.Grants)
 	}
+	unspent, reserved := n.ownTokens(s)
+	n.logChange("ledger updated", "version", s.version, "operations", operations, "for_peers", remote, "conflicts", s.conflicts+s.objectConflicts, "took", n.now-s.startedAt,
+		"bytes", s.bytes, "grants", grants, "prepaid", prepaid, "settled", settled, "unreported", unreported, "outstanding", outstanding, "own_unspent", unspent, "own_reserved", reserved)
+}
+
+// ownTokens returns what this instance holds of a shard's budgets: the tokens that
+// are free and those that are reserved for attempts in flight.
+func (n *Node) ownTokens(s *ledgerShard) (unspent, reserved int64) {
 	for _, name := range n.book.BudgetsInShard(s.index) {
-		ownUnspent += n.book.Lookup(name).Available()
+		a := n.book.Lookup(name)
+		unspent += a.Available()
+		reserved += a.Reserved()
 	}
-	n.logChange("ledger updated", "version", s.version, "operations", operations, "for_peers", remote, "conflicts", s.conflicts+s.objectConflicts, "took", n.now-s.startedAt,
-		"bytes", s.bytes, "grants", grants, "prepaid", prepaid, "settled", settled, "outstanding", outstanding, "own_unspent", ownUnspent)
+	return unspent, reserved
 }
 
 // finishLedgerUpdate ends an update and continues the requests that wait for
--- a/core/node/ledgerwriter.go
+++ b/core/node/ledgerwriter.go
@@ -135,6 +135,10 @@
 		s.delegation = nil
 		n.setSummaries(s, d.Budgets, m.Budgets)
 		n.reconcileBudgets(s, d.Budgets)
+		if len(d.Operations) > 0 {
+			unspent, reserved := n.ownTokens(s)
+			n.logChange("ledger update delegated", "writer", d.writer, "operations", len(d.Operations), "took", n.now-s.startedAt, "own_unspent", unspent, "own_reserved", reserved)
+		}
 		n.finishLedgerUpdate(s)
 	default:
 		n.abandonDelegation(s, "failed")
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -111,8 +111,8 @@
 	return memberState{targets: map[string]*target{}, peers: map[string]*peer{}, facts: map[factKey]*fact{}, longPromptAt: map[string]time.Duration{}}
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
 	for k := range m {
 		keys = append(keys, k)
 	}
