Count only reported spending in the rate of the fleet's spending

What callers saw: grants of customers whose callers stay on few instances were sized wrongly after a loss of instances or an outage, so that they waited or were refused.

Cause: the rate counted the growth of what is settled. Closing the grants of a lost instance settles them whole, which counted as spending of one second (1,000 tokens a second became 11,035 in the test); and while the ledger was out of reach the rate fell as if nobody spent (1,039 to 757 after 8 s), to jump when all reported. Now what closed grants charge beyond the last report is left out, and the window stays open until the ledger is seen again.

TestFleetRateCountsOnlyReportedSpending failed before in both parts.

--- a/core/budget/account.go
+++ b/core/budget/account.go
@@ -49,9 +49,11 @@
 	steady steadyRate
 	demand steadyRate
 	// fleet is the same for all holders together, as they report it, and
-	// fleetSettled the total that it has counted.
-	fleet        steadyRate
-	fleetSettled int64
+	// fleetReported the total that it has counted. fleetSeen is set if the ledger
+	// was seen since its last window ended.
+	fleet         steadyRate
+	fleetReported int64
+	fleetSeen     bool
 }
 
 // rate estimates spending in tokens per second as an exponentially weighted
@@ -136,13 +138,25 @@
 // tokens per second. A window ends when rates is called after its time, so that
 // it must be called often (Book.MeasureRates).
 func (a *Account) rates(now time.Duration) (demand, own, fleet float64) {
-	demand, own, fleet = a.demand.at(now), a.steady.at(now), a.fleet.at(now)
+	demand, own, fleet = a.demand.at(now), a.steady.at(now), a.fleetRate(now)
 	// The fleet reports its spending late. Counting it from the first report on
 	// would take the spending of some seconds for that of one.
 	a.fleet.running = a.fleet.running || a.demand.running
 	return demand, own, fleet
 }
 
+// fleetRate returns the spending of all holders. While the ledger is not seen,
+// the window stays open and the rate as it was.
+func (a *Account) fleetRate(now time.Duration) float64 {
+	if !a.fleetSeen && a.fleet.windows > 0 {
+		return a.fleet.perSecond
+	}
+	windows := a.fleet.windows
+	perSecond := a.fleet.at(now)
+	a.fleetSeen = a.fleetSeen && a.fleet.windows == windows
+	return perSecond
+}
+
 // Lasts returns for how long the available tokens cover the demand.
 func (a *Account) Lasts(now time.Duration) time.Duration {
 	perSecond, _, _ := a.rates(now)
@@ -216,14 +230,16 @@
 	for _, from := range b.HolderNames() {
 		a.Receive(from, b.Grants[from].Sent[self])
 	}
-	a.countFleet(b.SettledTotal())
+	a.countFleet(b.SettledTotal() - b.UnreportedTotal())
 	return applied
 }
 
-// countFleet counts what all holders together have spent since the last call.
-func (a *Account) countFleet(settled int64) {
-	a.fleet.pending += max(0, settled-a.fleetSettled)
-	a.fleetSettled = max(settled, a.fleetSettled)
+// countFleet counts what all holders together have reported as spent since the
+// last call. What closed grants charge beyond that is no spending.
+func (a *Account) countFleet(reported int64) {
+	a.fleet.pending += max(0, reported-a.fleetReported)
+	a.fleetReported = max(reported, a.fleetReported)
+	a.fleetSeen = true
 }
 
 // resolve completes the open operation, which took effect.
