Ask a restarted ledger writer again at once

What callers saw: after a loss of all instances of a large fleet requests wait for tokens while two instances write the same object.

Cause: an instance that starts before the writer asks its earlier incarnation, gets no answer and avoids it for two seconds, while instances that start later ask it.

Change: the avoidance ends with the incarnation. The new case of TestCombinedLedgerUpdates failed before (the other writer was still chosen).

--- a/core/node/ledgerwriter_test.go
+++ b/core/node/ledgerwriter_test.go
@@ -84,6 +84,15 @@
 				So(took, ShouldBeLessThan, acceptTimeout)
 			})
 		})
+		Convey("a writer that was avoided is asked again as soon as it has restarted", func() {
+			f.cutPeers[pair(f.writer, f.other)] = true
+			_, ok := f.served(f.other, 5000)
+			So(ok, ShouldBeTrue)
+			in := f.nodes[f.other]
+			So(in.node.ledgerWriter(in.node.ledgers.shardOf("b")), ShouldNotEqual, f.writer)
+			f.step(in, event.Event{PeerReceived: &event.PeerReceived{From: f.writer, Incarnation: "next"}})
+			So(in.node.ledgerWriter(in.node.ledgers.shardOf("b")), ShouldEqual, f.writer)
+		})
 		Convey("an instance writes itself if the writer can't reach the ledger", func() {
 			f.cutPlatform[f.writer] = true
 			took, ok := f.served(f.other, 5000)
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -210,7 +210,7 @@
 		p = n.addPeer(in.Name)
 	}
 	if in.Incarnation != "" && (p.incarnation == "" || p.Instance.Incarnation != "" && p.Instance.Incarnation != in.Incarnation) {
-		p.incarnation = in.Incarnation
+		n.setIncarnation(p, in.Incarnation)
 	}
 	p.Instance, p.listed = in, true
 }
@@ -243,6 +243,15 @@
 	return n.now-max(p.knownSince+newPeerGrace-isolationTimeout, n.members.lastHeard, n.resumedAt) < isolationTimeout
 }
 
+// setIncarnation records a peer's incarnation. What an earlier one failed to do
+// says nothing of a later one.
+func (n *Node) setIncarnation(p *peer, incarnation string) {
+	if p.incarnation != incarnation {
+		delete(n.ledgers.avoidedWriters, p.Name)
+	}
+	p.incarnation = incarnation
+}
+
 func (n *Node) send(to string, m event.PeerMessage) {
 	p := n.members.peers[to]
 	if p == nil || p.PeerAddress == "" {
@@ -260,7 +269,7 @@
 		p = n.addPeer(e.From)
 	}
 	p.heardDirectly, p.heardDirectlyAt, p.lastHeard = true, n.now, n.now
-	p.incarnation = e.Incarnation
+	n.setIncarnation(p, e.Incarnation)
 	n.members.lastHeard = n.now
 	switch m := e.Message; {
 	case m.Heartbeat != nil:
