Let grants hold a smaller share of a budget that will not last long

Cause: class 'tokens granted in advance are lost with their holder'. Grants last 16 s whatever is left of a budget, up to 400 per mille of it.

Change: the share grows with the time that the rest lasts at the fleet's rate of spending (policies.grants.fullShareSeconds, 60 on the users' platform, off by default). A budget that lasts is granted as before, so outages are covered as before; one that runs out is spent by requests instead of losses. The writer for others bounds what it grants the same way.

--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -34,6 +34,9 @@
 	// unevenWindows is the number of windows of the fleet's spending that must
 	// have ended before.
 	unevenWindows = 2
+	// minSharePerMille is the share of a budget, in per mille, that grants may take
+	// even if it is nearly spent, so that not every request waits for the ledger.
+	minSharePerMille = 50
 	// unknownPartDivisor divides what may still be granted to get the part of an
 	// on-demand holder while the fleet's spending is not known yet.
 	unknownPartDivisor = 2
@@ -94,15 +97,16 @@
 		return 0
 	}
 	demand, own, fleet := a.rates(now)
-	equalPart := s.spreadable() / max(1, s.Instances)
+	spreadable := a.Spreadable(s.Policy, s.Unspent)
+	equalPart := spreadable / max(1, s.Instances)
 	limit := equalPart
 	switch {
 	case a.fleet.windows < unevenWindows:
 		if s.OnDemand { // its callers stay here, so that the others probably hold few tokens
-			limit = max(equalPart, (s.spreadable()-s.Outstanding)/unknownPartDivisor)
+			limit = max(equalPart, (spreadable-s.Outstanding)/unknownPartDivisor)
 		}
 	case own*float64(s.Instances) > unevenRatio*fleet:
-		limit = int64(float64(s.spreadable()) * min(1, own/fleet))
+		limit = int64(float64(spreadable) * min(1, own/fleet))
 	}
 	size := min(int64(demand*float64(s.Policy.RunwaySeconds)), limit)
 	if !s.OnDemand {
@@ -111,20 +115,26 @@
 	return size
 }
 
-// spreadable returns the part of a budget that all grants together may take.
-// The rest stays in the ledger for the instances that run after all holders
-// have crashed.
-func (s Sizing) spreadable() int64 {
-	return max(0, s.Unspent*s.Policy.MaxSharePerMille/perMille)
+// Spreadable returns the part of a budget that all grants together may take
+// under "spread", in tokens, if unspent tokens of it are left. The rest stays in
+// the ledger for the instances that run after holders have crashed.
+func (a *Account) Spreadable(p config.GrantPolicy, unspent int64) int64 {
+	share := p.MaxSharePerMille
+	if fleet := a.fleet.perSecond; p.FullShareSeconds > 0 && a.fleet.windows >= unevenWindows && fleet > 0 {
+		lasts := float64(unspent) / fleet
+		share = int64(float64(share) * min(1, lasts/float64(p.FullShareSeconds)))
+		share = max(share, min(minSharePerMille, p.MaxSharePerMille))
+	}
+	return max(0, unspent*share/perMille)
 }
 
 // refillable returns what a grant may take from the ledger while no request
 // waits.
-func (s Sizing) refillable() int64 {
+func (a *Account) refillable(s Sizing) int64 {
 	if s.Policy.Policy != config.GrantSpread {
 		return s.LedgerAvailable
 	}
-	return min(s.LedgerAvailable, max(0, s.spreadable()-s.Outstanding))
+	return min(s.LedgerAvailable, max(0, a.Spreadable(s.Policy, s.Unspent)-s.Outstanding))
 }
 
 // lowWater returns the unspent grant below which a refill is due.
@@ -152,8 +162,8 @@
 	case op.Want > 0:
 	case s.Excess > 0 && available > 0 && !s.Waiting:
 		op.Return = min(available, s.Excess)
-	case s.Background && available < s.lowWater(wanted) && s.refillable() > 0 && (a.sequence > 0 || s.Policy.Policy == config.GrantSpread):
-		op.Want = min(wanted-available, s.refillable())
+	case s.Background && available < s.lowWater(wanted) && a.refillable(s) > 0 && (a.sequence > 0 || s.Policy.Policy == config.GrantSpread):
+		op.Want = min(wanted-available, a.refillable(s))
 	case s.returnDue(available, wanted):
 		op.Return = available - wanted
 	case s.Background && a.transfers.unrecorded() > 0: // records received tokens, so that they can be transferred on
--- a/core/budget/policy_test.go
+++ b/core/budget/policy_test.go
@@ -148,6 +148,16 @@
 			s.OnDemand = false
 			So(a.WantedSize(time.Millisecond, s), ShouldEqual, 60)
 		})
+		Convey("takes a smaller share of a budget that will not last fullShareSeconds", func() {
+			p.FullShareSeconds = 60
+			So(a.Spreadable(p, 6000), ShouldEqual, 3600) // the rate of spending is not known yet
+			a.fleet = steadyRate{perSecond: 100, windows: unevenWindows}
+			So(a.Spreadable(p, 12_000), ShouldEqual, 7200)
+			So(a.Spreadable(p, 6000), ShouldEqual, 3600)
+			So(a.Spreadable(p, 3000), ShouldEqual, 900)
+			So(a.Spreadable(p, 100), ShouldEqual, 100*minSharePerMille/perMille)
+			So(a.Spreadable(p, -5), ShouldEqual, 0)
+		})
 		Convey("leaves its reserve in the ledger", func() {
 			b.Apply(ledger.Operation{Holder: "n2/1", Sequence: 1, Want: 550})
 			step(&a, 0)
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -121,6 +121,12 @@
 	// one grant may take, in per mille; under "spread", the share that all
 	// grants together may take.
 	MaxSharePerMille int64 `json:"maxSharePerMille" min:"1" max:"1000"`
+	// FullShareSeconds is the time that what is left of a budget must last, at the
+	// rate at which the fleet spends it, for grants to take all of MaxSharePerMille
+	// under "spread", in seconds; 0 for no such limit. The share of a budget that
+	// lasts for less is smaller in proportion: tokens that lost instances held are
+	// missed most where few are left.
+	FullShareSeconds int64 `json:"fullShareSeconds,omitempty" min:"0" max:"86400"`
 	// MaxWaitMillis limits how long a request waits for tokens of its budget, in
 	// milliseconds; 0 for no limit besides those of the individual steps.
 	MaxWaitMillis int64 `json:"maxWaitMillis,omitempty" min:"0" max:"60000"`
--- a/core/node/ledgerwriter.go
+++ b/core/node/ledgerwriter.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"plantainfield.example/core/budget"
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/ledger"
@@ -269,17 +270,21 @@
 	for _, u := range remote {
 		for _, name := range sortedKeys(u.Operations) {
 			b := n.budgetInForce(next, name)
-			b.Apply(n.limited(b, *u.Operations[name], u.Urgent))
+			b.Apply(n.limited(name, b, *u.Operations[name], u.Urgent))
 		}
 	}
 }
 
 // limited returns an operation that takes no more in advance than all grants
 // together may: the sender chose the amount from an older view.
-func (n *Node) limited(b *ledger.Budget, op ledger.Operation, urgent bool) ledger.Operation {
+func (n *Node) limited(name string, b *ledger.Budget, op ledger.Operation, urgent bool) ledger.Operation {
 	p := n.configs.index.Document.Policies.Grants
 	if p.Policy == config.GrantSpread && !urgent && op.Want > 0 {
-		spreadable := max(0, b.Target-b.SettledTotal()) * p.MaxSharePerMille / 1000
+		account := n.book.Lookup(name)
+		if account == nil {
+			account = &budget.Account{}
+		}
+		spreadable := account.Spreadable(p, b.Target-b.SettledTotal())
 		op.Want = min(op.Want, max(0, spreadable-b.Outstanding()))
 	}
 	return op
--- a/fleet/daemon/hosted_policies.go
+++ b/fleet/daemon/hosted_policies.go
@@ -17,6 +17,10 @@
 	// grantSharePerMille is the share of the remaining budget that all grants
 	// together may hold. The rest survives the loss of all processes.
 	grantSharePerMille = 400
+	// grantFullShareSeconds is how long a budget must last for grants to hold
+	// that share of it: some times the runway, since instances may be lost
+	// several times while it is spent.
+	grantFullShareSeconds = 60
 	// grantRefillMillis keeps an instance's ledger updates below one per
 	// second.
 	grantRefillMillis = 1500
@@ -46,7 +50,7 @@
 func hostedPolicies(adapter *PlatformAdapter) config.Policies {
 	p := config.Defaults().Policies
 	p.Grants = config.GrantPolicy{
-		Policy: config.GrantSpread, SizeTokens: grantFloorTokens, RunwaySeconds: grantRunwaySeconds, MaxSharePerMille: grantSharePerMille,
+		Policy: config.GrantSpread, SizeTokens: grantFloorTokens, RunwaySeconds: grantRunwaySeconds, MaxSharePerMille: grantSharePerMille, FullShareSeconds: grantFullShareSeconds,
 		PeerTransfer: true, RefillMillis: grantRefillMillis, MaxWaitMillis: grantWaitMillis, CombineUpdates: true,
 	}
 	p.Routing.Policy = config.RoutingLeastWork
