Log how an idle instance learns of a configuration; test it under lost messages

No line said when an instance got a version from a peer, nor when it stopped reading the platform itself; a configuration that can't be decoded was dropped without a line.

--- a/core/node/budget_simulation_test.go
+++ b/core/node/budget_simulation_test.go
@@ -106,6 +106,11 @@
 	// they ask again.
 	named      []string
 	namedUntil time.Duration
+	// loseMessage, if set, reports whether a message between two instances gets
+	// lost; followed, if set, is called when an instance starts to follow the
+	// platform closely.
+	loseMessage func(from, to string) bool
+	followed    func(in *simulatedNode)
 	// listPending is set while the instance list is to be sent to all instances.
 	listPending bool
 }
@@ -320,6 +325,10 @@
 			s.end(r, 0)
 		case a.AnswerAddresses != nil:
 			s.named = a.AnswerAddresses.Addresses
+		case a.FollowPlatform != nil:
+			if a.FollowPlatform.Closely && s.followed != nil {
+				s.followed(in)
+			}
 		}
 	}
 }
@@ -393,7 +402,7 @@
 
 func (s *budgetSimulation) deliverToPeer(from *simulatedNode, m event.SendPeer) {
 	for _, to := range s.nodes {
-		if to.name == m.To && !s.cut[to.name] && !s.cut[from.name] {
+		if to.name == m.To && !s.cut[to.name] && !s.cut[from.name] && (s.loseMessage == nil || !s.loseMessage(from.name, to.name)) {
 			s.step(to, event.Event{PeerReceived: &event.PeerReceived{From: from.name, Incarnation: fmt.Sprint(from.incarnation), Message: m.Message}})
 		}
 	}
--- a/core/node/configs.go
+++ b/core/node/configs.go
@@ -139,7 +139,11 @@
 // adopt puts a stored configuration, given as JSON, in force if it is newer.
 func (n *Node) adopt(raw []byte) {
 	s := &config.Stored{}
-	if err := json.Unmarshal(raw, s); err != nil || s.Generation <= n.configs.generation() {
+	if err := json.Unmarshal(raw, s); err != nil {
+		n.logChange("configuration unreadable", "bytes", len(raw), "error", err)
+		return
+	}
+	if s.Generation <= n.configs.generation() {
 		return
 	}
 	n.putInForce(s, raw)
@@ -209,4 +213,10 @@
 	}
 }
 
-func (n *Node) configReplied(m *event.ConfigReply) { n.adopt(m.Stored) }
+func (n *Node) configReplied(from string, m *event.ConfigReply) {
+	before := n.configs.generation()
+	n.adopt(m.Stored)
+	if n.configs.generation() > before {
+		n.logChange("configuration from peer", "peer", from, "generation", n.configs.generation(), "before", before, "behind", n.now-n.configs.behindSince)
+	}
+}
--- a/core/node/following.go
+++ b/core/node/following.go
@@ -37,6 +37,7 @@
 	f.nextCheck = n.now + followCheckPeriod
 	if loosely := n.mayFollowLoosely(); loosely != f.loosely {
 		f.loosely = loosely
+		n.logChange("following platform", "closely", !loosely, "generation", n.configs.generation(), "highest_known", n.configs.highestKnown(), "since_peer_heard", n.now-n.members.lastHeard)
 		n.emit(event.Action{FollowPlatform: &event.FollowPlatform{Closely: !loosely}})
 	}
 }
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -277,7 +277,7 @@
 	case m.ConfigRequest != nil:
 		n.configRequested(e.From, m.ConfigRequest)
 	case m.ConfigReply != nil:
-		n.configReplied(m.ConfigReply)
+		n.configReplied(e.From, m.ConfigReply)
 	case m.BillHoldRequest != nil:
 		n.billHoldRequested(p, m.BillHoldRequest)
 	case m.BillHoldAck != nil:
