--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -26,7 +26,7 @@
 	// spreadLowPerMille and spreadHighPerMille are the same thresholds under
 	// "spread", which tracks a budget that is running low more closely.
 	spreadLowPerMille  = 700
-	spreadHighPerMille = 2000
+	spreadHighPerMille = 1500
 	// unevenRatio is the ratio of a holder's spending to that of a mean holder
 	// from which on its part of a budget follows its spending. It is larger than
 	// the ratios that a few large requests cause.
