--- a/core/budget/policy_test.go
+++ b/core/budget/policy_test.go
@@ -177,11 +177,10 @@
 		})
 		Convey("returns tokens when it has over half more than its part", func() {
 			step(&a, 0)
-			So(a.Available(), ShouldEqual, prepaid*600/perMille/4)
-			b.Apply(ledger.Operation{Holder: "n2/1", Sequence: 1, Want: 400, Spent: 0})
-			b.Apply(ledger.Operation{Holder: "n2/1", Sequence: 2, Spent: 400})
+			b.Apply(ledger.Operation{Holder: "n2/1", Sequence: 1, Want: 600, Spent: 0})
+			b.Apply(ledger.Operation{Holder: "n2/1", Sequence: 2, Spent: 600})
 			So(step(&a, time.Second), ShouldBeTrue)
-			So(a.Available(), ShouldEqual, (prepaid-400)*600/perMille/4)
+			So(a.Available(), ShouldEqual, (prepaid-600)*600/perMille/4)
 		})
 		Convey("returns unspent tokens after the total is lowered", func() {
 			a.AddShortfall(200)
