Read the limits that targets name, and log them

No decision changes.

A response that says nothing counts only if the dispatch asked for it, because the target had said something before: no event more for other responses.

--- a/core/event/action.go
+++ b/core/event/action.go
@@ -55,6 +55,9 @@
 	Address string `json:"address"`
 	// MaxTokens limits what the attempt may consume, in tokens.
 	MaxTokens int64 `json:"maxTokens"`
+	// ReportNotice asks for a TargetNotice also if the response says nothing of the
+	// target, because it said something before.
+	ReportNotice bool `json:"reportNotice,omitempty"`
 }
 
 // CancelAttempt cancels an attempt at its target.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -29,6 +29,7 @@
 	CallerGone         *CallerGone         `json:"callerGone,omitempty"`
 	FirstToken         *FirstToken         `json:"firstToken,omitempty"`
 	AttemptEnded       *AttemptEnded       `json:"attemptEnded,omitempty"`
+	TargetNotice       *TargetNotice       `json:"targetNotice,omitempty"`
 	PlatformResult     *PlatformResult     `json:"platformResult,omitempty"`
 	ObjectSeen         *ObjectSeen         `json:"objectSeen,omitempty"`
 	ConfigRead         *ConfigRead         `json:"configRead,omitempty"`
@@ -133,6 +134,18 @@
 	AttemptCancelled AttemptOutcome = "cancelled"
 )
 
+// TargetNotice reports what a target said of itself in the head of a response. It
+// is posted for each response that says something, and for those that say nothing
+// to an attempt whose Dispatch asked for it.
+type TargetNotice struct {
+	Target  string `json:"target"`
+	Address string `json:"address"`
+	// Limited is set if the target named a limit: Limit is the number of requests
+	// a second that it takes from all instances together.
+	Limited bool    `json:"limited,omitempty"`
+	Limit   float64 `json:"limit,omitempty"`
+}
+
 // AttemptEnded reports the end of an attempt.
 type AttemptEnded struct {
 	Attempt string         `json:"attempt"`
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -158,6 +158,8 @@
 		n.firstToken(e.FirstToken.Attempt)
 	case e.AttemptEnded != nil:
 		n.attemptEnded(*e.AttemptEnded)
+	case e.TargetNotice != nil:
+		n.targetNoticed(*e.TargetNotice)
 	case e.PlatformResult != nil:
 		n.platformResult(*e.PlatformResult)
 	case e.ObjectSeen != nil:
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -61,6 +61,8 @@
 	// reportedLiveAt is when the target last reported that it is not leaving.
 	reportedLiveAt time.Duration
 	health         targetHealth
+	// limit is the limit on the requests of all instances that the target names.
+	limit statedLimit
 	// avoidUntil is the time before which the target is avoided, because it
 	// failed or was full.
 	avoidUntil time.Duration
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -89,6 +89,7 @@
 		end.Outcome = x.classifyError(ctx, err)
 		end.Unsent = errors.Is(err, upstream.ErrUnsent)
 	} else {
+		x.reportNotice(d, resp.Header)
 		x.handleResponse(ctx, resp, &end)
 		_ = resp.Body.Close()
 	}
@@ -100,6 +101,23 @@
 	return end
 }
 
+// reportNotice reports what a target says of itself in the headers of a response.
+func (x *exchange) reportNotice(d *event.Dispatch, h http.Header) {
+	notice, err := x.server.protocol.ReadNotice(h)
+	if err != nil {
+		if x.server.warnOnce(d.Target) {
+			x.log.Warn("target notice unusable", zap.String("target", d.Target), zap.Error(err))
+		}
+		return
+	}
+	if notice == (TargetNotice{}) && !d.ReportNotice {
+		return
+	}
+	x.server.loop.Post(event.Event{TargetNotice: &event.TargetNotice{
+		Target: d.Target, Address: d.Address, Limited: notice.Limited, Limit: notice.Limit,
+	}})
+}
+
 // targetRequest returns the caller's request with the headers that the target
 // needs.
 func (x *exchange) targetRequest(ctx context.Context, d *event.Dispatch) *http.Request {
--- a/fleet/gateway/protocol.go
+++ b/fleet/gateway/protocol.go
@@ -71,6 +71,14 @@
 	NotExecuted
 )
 
+// TargetNotice is what a target says of itself in a response.
+type TargetNotice struct {
+	// Limited is set if the target names a limit: Limit is the number of requests
+	// a second that it takes from all instances together.
+	Limited bool
+	Limit   float64
+}
+
 // Refusal is an error response of the router itself.
 type Refusal struct {
 	Kind       errkind.Kind
@@ -90,6 +98,9 @@
 	// ClassifyResponse determines from the status code and the headers of a
 	// target's response whether the target ran the request.
 	ClassifyResponse(resp *http.Response) ExecutionStatus
+	// ReadNotice reads what a target says of itself in the headers of its response.
+	// A value that can't be used has no effect and is returned as an error.
+	ReadNotice(h http.Header) (TargetNotice, error)
 	// Refuse writes an error response of the router itself.
 	Refuse(w http.ResponseWriter, refusal Refusal)
 }
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,8 @@
 	// stopping is set once a stop has begun. Connections are then closed after
 	// their current response.
 	stopping atomic.Bool
+	// warnings holds the names of the targets that warnOnce was called for.
+	warnings sync.Map
 }
 
 // New returns a Server.
@@ -47,6 +50,12 @@
 // Stop makes each connection close after its current response.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// warnOnce reports whether it is called for a target for the first time.
+func (s *Server) warnOnce(target string) bool {
+	_, seen := s.warnings.LoadOrStore(target, struct{}{})
+	return !seen
+}
+
 // Ready reports whether the instance accepts callers.
 func (s *Server) Ready() bool { return s.loop.Index() != nil && !s.stopping.Load() }
 
