--- a/core/node/budget_simulation_test.go
+++ b/core/node/budget_simulation_test.go
@@ -111,6 +111,9 @@
 	// platform closely.
 	loseMessage func(from, to string) bool
 	followed    func(in *simulatedNode)
+	// dispatched, if set, is called with each attempt that an instance sends to a
+	// target.
+	dispatched func(in *simulatedNode, a event.Dispatch)
 	// listPending is set while the instance list is to be sent to all instances.
 	listPending bool
 }
@@ -409,6 +412,9 @@
 }
 
 func (s *budgetSimulation) dispatch(in *simulatedNode, a event.Dispatch) {
+	if s.dispatched != nil {
+		s.dispatched(in, a)
+	}
 	r := in.open[a.Request]
 	r.started = s.now
 	r.duration = 200*time.Millisecond + time.Duration(s.rng.Int64N(int64(1500*time.Millisecond)))
