Keep the limits that targets name, all instances together

Cause: nothing read the limit. Class of fault: a bound for all instances together that one of them, or none, knows of.

Change: a limited target has a few owners among the instances that serve callers, by rendezvous hash, fewer for a lower limit; each sends an equal share of nine tenths of the limit, and the others choose other targets (core/targetlimit). Whoever hears of a limit or of its end tells the peers. Requests that no share has room for are refused at once as not run, with a time to come back from the limits and the demand.

--- a/core/event/peer.go
+++ b/core/event/peer.go
@@ -128,6 +128,9 @@
 const (
 	// FactLeaving means that a target is leaving; Incarnation is its address.
 	FactLeaving FactKind = "leaving"
+	// FactLimit means that a target names a limit for its requests, or none any
+	// more; Incarnation is its address.
+	FactLimit FactKind = "limit"
 	// FactStopping means that an instance is stopping; Incarnation is the
 	// instance's.
 	FactStopping FactKind = "stopping"
@@ -147,6 +150,9 @@
 	// AgeMillis is the time since the fact was last confirmed first-hand, in
 	// milliseconds.
 	AgeMillis int64 `json:"age"`
+	// Limited and Limit are those of a TargetNotice, under FactLimit.
+	Limited bool    `json:"limited,omitempty"`
+	Limit   float64 `json:"limit,omitempty"`
 }
 
 // ConfigRequest asks for the configuration in force at the receiver.
--- a/core/node/dispatch.go
+++ b/core/node/dispatch.go
@@ -91,14 +91,25 @@
 	}
 }
 
+// limitedQueueMargin is the part of the expected wait by which a request must
+// have more time left to be queued for targets that name limits. These serve
+// requests one by one, and a request that is refused later has waited in vain.
+const limitedQueueMargin = 4
+
 // refuseUnmeetable refuses the queued requests that can't meet their deadlines.
 func (n *Node) refuseUnmeetable(serves string, q *targetQueue) {
 	capacity := n.capacity(serves)
+	limited := n.anyLimited(serves)
 	ahead := 0
 	for _, r := range q.entries.Values() {
 		left := r.arrived + n.deadline(r) - n.now
 		firstToken := q.estimate.TimeToFirstToken(ahead, capacity)
-		if left > 0 && firstToken <= left {
+		needed := firstToken
+		if limited && !r.queued {
+			needed += firstToken / limitedQueueMargin
+		}
+		if left > 0 && needed <= left {
+			r.queued = true
 			ahead++
 			continue
 		}
@@ -108,13 +119,19 @@
 }
 
 // capacity returns the number of attempts that the usable targets accept at a
-// time.
-func (n *Node) capacity(serves string) int {
-	sum := 0
+// time from this instance.
+func (n *Node) capacity(serves string) float64 {
+	sum := 0.0
+	serviceTime := n.waiting.queueFor(serves).estimate.ServiceTime()
 	for _, t := range n.members.targetsOf(serves) {
-		if t.usable(n.now) {
-			sum += n.concurrencyLimit(t)
+		if !t.usable(n.now) {
+			continue
+		}
+		slots := float64(n.concurrencyLimit(t))
+		if limited, ok := n.limitedSlots(t, serviceTime); ok {
+			slots = min(slots, limited)
 		}
+		sum += slots
 	}
 	return sum
 }
--- a/core/node/gossip.go
+++ b/core/node/gossip.go
@@ -57,6 +57,9 @@
 	confirmed time.Duration
 	// sent counts the heartbeats that carried the fact.
 	sent int
+	// limited and limit are the statement of event.FactLimit.
+	limited bool
+	limit   float64
 }
 
 // recordFact stores a fact that was confirmed at a time. It returns false if a
@@ -92,6 +95,7 @@
 	if !n.recordFact(k, at) {
 		return
 	}
+	n.members.facts[k].limited, n.members.facts[k].limit = e.Limited, e.Limit
 	n.applyFact(k, at)
 }
 
@@ -102,6 +106,13 @@
 		}
 		return
 	}
+	if k.kind == event.FactLimit {
+		if t := n.members.targets[k.name]; t != nil && t.Address == k.incarnation {
+			f := n.members.facts[k]
+			n.setLimit(t, f.limited, f.limit, at)
+		}
+		return
+	}
 	p := n.members.peers[k.name]
 	if p == nil {
 		return
@@ -135,7 +146,7 @@
 	for _, k := range keys[:min(len(keys), maxFacts)] {
 		f := n.members.facts[k]
 		f.sent++
-		out = append(out, event.Fact{Kind: k.kind, Name: k.name, Incarnation: k.incarnation, AgeMillis: (n.now - f.confirmed).Milliseconds()})
+		out = append(out, event.Fact{Kind: k.kind, Name: k.name, Incarnation: k.incarnation, AgeMillis: (n.now - f.confirmed).Milliseconds(), Limited: f.limited, Limit: f.limit})
 	}
 	return out
 }
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -73,6 +73,9 @@
 	refuteUntil time.Duration
 	// lastHeard is when a message from any peer last arrived.
 	lastHeard time.Duration
+	// nextLimitCheck is the time of the next check for limits of targets that no
+	// longer count.
+	nextLimitCheck time.Duration
 	// nextLoads is when the next load message is due; lastLoadsEmpty is set if
 	// the last one contained no work.
 	nextLoads      time.Duration
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -195,6 +195,7 @@
 	n.tickMembers()
 	n.tickMissingTargets()
 	n.tickLoads()
+	n.tickLimits()
 	n.tickFollowing()
 	n.tickRequests()
 	n.tickBegun()
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -56,6 +56,8 @@
 	failedTargets []string
 	// notBefore is the end of the retry delay.
 	notBefore time.Duration
+	// queued is set once the request was found to be able to wait for a target.
+	queued bool
 	// lastFailure is the error kind to answer with if no retry follows.
 	lastFailure errkind.Kind
 	// mayHaveRun is set once an attempt may have started.
@@ -243,6 +245,9 @@
 	n.requests.byAttempt[r.attempt] = r
 	r.dispatched, r.firstTokenSeen = n.now, false
 	t.inFlight++
+	if l := n.limitOf(t); l != nil {
+		l.bucket.Take(n.now)
+	}
 	t.limiter.ObserveStart(n.limits(), t.inFlight)
 	t.load.ObserveInFlight(t.inFlight)
 	t.beginPrefill(r)
--- a/core/node/servinginstances.go
+++ b/core/node/servinginstances.go
@@ -60,6 +60,8 @@
 	known bool
 	count int64
 	self  bool
+	// names are the names of the chosen instances.
+	names []string
 }
 
 // demand returns the rate of callers' requests that the fleet is prepared for,
@@ -86,8 +88,11 @@
 	if !n.namesAll() {
 		chosen = n.fitToDemand(chosen)
 	}
-	isSelf := func(in event.Instance) bool { return in.Name == n.settings.Name }
-	n.members.serving = servingState{at: n.now, known: true, count: int64(len(chosen)), self: slices.ContainsFunc(chosen, isSelf)}
+	names := make([]string, 0, len(chosen))
+	for _, in := range chosen {
+		names = append(names, in.Name)
+	}
+	n.members.serving = servingState{at: n.now, known: true, count: int64(len(chosen)), self: slices.Contains(names, n.settings.Name), names: names}
 	return chosen
 }
 
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -86,6 +86,9 @@
 		if full {
 			return nil, errkind.Overloaded
 		}
+		if n.limitedElsewhere(r.Serves) {
+			r.retryAfter = n.limitedRetryAfter(r.Serves)
+		}
 		return nil, errkind.NoTarget
 	}
 	if n.sharesLoads() {
@@ -109,7 +112,11 @@
 		if !allowed(t) || slices.Contains(r.failedTargets, t.Name) {
 			continue
 		}
-		if t.inFlight >= n.concurrencyLimit(t) || !n.stateKnown(t) {
+		now, ever := n.limitAllows(t)
+		if !ever {
+			continue
+		}
+		if t.inFlight >= n.concurrencyLimit(t) || !n.stateKnown(t) || !now {
 			full = true
 			continue
 		}
--- a/core/queue/estimate.go
+++ b/core/queue/estimate.go
@@ -15,6 +15,10 @@
 	firstToken  time.Duration
 }
 
+// ServiceTime returns the smoothed time that an attempt occupies its slot at a
+// target, or 0 before the first sample.
+func (e *Estimate) ServiceTime() time.Duration { return e.serviceTime }
+
 // ObserveServiceTime records how long an attempt occupied its slot at a target.
 func (e *Estimate) ObserveServiceTime(d time.Duration) { smooth(&e.serviceTime, d) }
 
@@ -33,15 +37,15 @@
 // Wait returns the expected time until an entry with ahead entries before it is
 // dispatched, at targets that together serve slots attempts at a time. It is 0
 // before the first sample, and if there is no slot.
-func (e *Estimate) Wait(ahead, slots int) time.Duration {
+func (e *Estimate) Wait(ahead int, slots float64) time.Duration {
 	if slots <= 0 {
 		return 0
 	}
-	return time.Duration(ahead+1) * e.serviceTime / time.Duration(slots)
+	return time.Duration(float64(ahead+1) * float64(e.serviceTime) / slots)
 }
 
 // TimeToFirstToken returns the expected time until the first token of an entry
 // with ahead entries before it.
-func (e *Estimate) TimeToFirstToken(ahead, slots int) time.Duration {
+func (e *Estimate) TimeToFirstToken(ahead int, slots float64) time.Duration {
 	return e.Wait(ahead, slots) + e.firstToken
 }
