Send no new requests to a target that says in a response that it is leaving

Cause: Server-Leaving was not read. Change: the statement counts like the list's word that a target leaves, is told to peers, and holds until the target starts again: an older list entry or a response without it changes nothing. A target that starts again under its name is another one now, also where its address is the same ('born'); facts of peers name the start, so that one about an earlier start does not concern the next.

A fleet of mixed builds does not understand each other's facts on leaving targets; the list still tells both.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -140,6 +140,8 @@
 type TargetNotice struct {
 	Target  string `json:"target"`
 	Address string `json:"address"`
+	// Leaving is set if the target is leaving.
+	Leaving bool `json:"leaving,omitempty"`
 	// Limited is set if the target named a limit: Limit is the number of requests
 	// a second that it takes from all instances together.
 	Limited bool    `json:"limited,omitempty"`
--- a/core/event/peer.go
+++ b/core/event/peer.go
@@ -126,10 +126,11 @@
 type FactKind string
 
 const (
-	// FactLeaving means that a target is leaving; Incarnation is its address.
+	// FactLeaving means that a target is leaving. Incarnation is its address and,
+	// if the instance list tells it, its start: "address/milliseconds".
 	FactLeaving FactKind = "leaving"
 	// FactLimit means that a target names a limit for its requests, or none any
-	// more; Incarnation is its address.
+	// more; Incarnation is as for FactLeaving.
 	FactLimit FactKind = "limit"
 	// FactStopping means that an instance is stopping; Incarnation is the
 	// instance's.
--- a/core/node/gossip.go
+++ b/core/node/gossip.go
@@ -44,7 +44,7 @@
 const refutePeriod = 10 * time.Second
 
 // factKey identifies a fact. The field incarnation holds the incarnation of the
-// instance, or the address of the target; it is empty for event.FactSilent.
+// instance or of the target; it is empty for event.FactSilent.
 type factKey struct {
 	kind        event.FactKind
 	name        string
@@ -101,13 +101,13 @@
 
 func (n *Node) applyFact(k factKey, at time.Duration) {
 	if k.kind == event.FactLeaving {
-		if t := n.members.targets[k.name]; t != nil && t.Address == k.incarnation {
+		if t := n.members.targets[k.name]; t != nil && t.incarnation() == k.incarnation {
 			t.markLeaving(at)
 		}
 		return
 	}
 	if k.kind == event.FactLimit {
-		if t := n.members.targets[k.name]; t != nil && t.Address == k.incarnation {
+		if t := n.members.targets[k.name]; t != nil && t.incarnation() == k.incarnation {
 			f := n.members.facts[k]
 			n.setLimit(t, f.limited, f.limit, at)
 		}
--- a/core/node/hosted_test.go
+++ b/core/node/hosted_test.go
@@ -20,6 +20,8 @@
 	// calls are the platform calls; none of them is answered.
 	calls []event.PlatformCall
 	seed  uint64
+	// handle is that of the last request of sendMany.
+	handle uint64
 }
 
 func newHosted() *hosted {
@@ -75,7 +77,7 @@
 // arrive sends a request and returns the resulting actions.
 func (h *hosted) arrive(handle uint64, tokens int64) []event.Action {
 	r := &event.RequestArrived{
-		Request: handle, Customer: "c", Key: string(rune('a' + handle)), BodyHash: string(rune('a' + handle)),
+		Request: handle, Customer: "c", Key: fmt.Sprint(handle), BodyHash: fmt.Sprint(handle),
 		Serves: "app", MaxAttempts: 1, HandedOver: true, Deadline: 10 * time.Second,
 	}
 	if tokens > 0 {
--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -15,9 +15,9 @@
 }
 
 // observedLeaving reports whether this instance itself currently observes that
-// the target is leaving, from the instance list or from the target's own
-// report.
-func (t *target) observedLeaving() bool { return t.delisted || t.reportsLeaving }
+// the target is leaving, from the instance list or from what the target itself
+// says.
+func (t *target) observedLeaving() bool { return t.delisted || t.reportsLeaving || t.saysLeaving }
 
 const (
 	// firstReportTimeout is how long to wait for a new target's first report
@@ -73,19 +73,21 @@
 // itself, and records that as a fact for its peers.
 func (n *Node) announceLeaving(t *target) {
 	t.markLeaving(n.now)
-	n.recordFact(factKey{event.FactLeaving, t.Name, t.Address}, n.now)
+	n.recordFact(factKey{event.FactLeaving, t.Name, t.incarnation()}, n.now)
 }
 
 // targetListed handles a target's entry in the instance list. An entry with
-// another address is another target.
+// another address or another start is another target.
 func (n *Node) targetListed(in event.Instance) {
 	t := n.members.targets[in.Name]
-	if t == nil || t.Address != in.Address {
-		t = &target{knownSince: n.now, limiter: limit.New(), prefixes: routing.NewPrefixes()}
+	if t == nil || t.Address != in.Address || t.StartMillis != in.StartMillis {
+		t = &target{Instance: in, knownSince: n.now, limiter: limit.New(), prefixes: routing.NewPrefixes()}
 		n.members.targets[in.Name] = t
 		n.members.invalidateTargetCaches()
-		if f := n.members.facts[factKey{event.FactLeaving, in.Name, in.Address}]; f != nil {
-			t.markLeaving(f.confirmed)
+		for _, kind := range []event.FactKind{event.FactLeaving, event.FactLimit} {
+			if k := (factKey{kind, in.Name, t.incarnation()}); n.members.facts[k] != nil {
+				n.applyFact(k, n.members.facts[k].confirmed)
+			}
 		}
 	}
 	t.Instance, t.missing = in, false
--- a/core/node/targetlimits.go
+++ b/core/node/targetlimits.go
@@ -36,16 +36,13 @@
 	sharedAt time.Duration
 }
 
-// targetNoticed handles what a target says of itself, and tells peers.
-func (n *Node) targetNoticed(e event.TargetNotice) {
-	t := n.members.targets[e.Target]
-	if t == nil || t.Address != e.Address {
-		return
-	}
+// limitNoticed handles the limit that a target names, or that it names none, and
+// tells peers.
+func (n *Node) limitNoticed(t *target, e event.TargetNotice) {
 	changed := n.setLimit(t, e.Limited, e.Limit, n.now)
 	if changed || e.Limited && n.now-t.limit.announced >= limitRepeatPeriod {
 		t.limit.announced = n.now
-		k := factKey{event.FactLimit, t.Name, t.Address}
+		k := factKey{event.FactLimit, t.Name, t.incarnation()}
 		n.recordFact(k, n.now)
 		n.members.facts[k].limited, n.members.facts[k].limit = e.Limited, e.Limit
 		n.members.burstDue = n.members.burstDue || changed
--- /dev/null
+++ b/core/node/targetnotices_test.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"plantainfield.example/core/event"
+)
+
+// startedAt returns the entry of a target that started at a Unix time in
+// milliseconds.
+func startedAt(name string, millis int64) event.Instance {
+	in := targetEntry(name)
+	in.StartMillis = millis
+	return in
+}
+
+// sendMany sends requests one after the other, each of which ends at once, and
+// counts those that each target got.
+func (h *hosted) sendMany(count int) map[string]int {
+	got := map[string]int{}
+	for range count {
+		h.handle++
+		if d := dispatched(h.arrive(h.handle, 0)); d != nil {
+			got[d.Target]++
+			h.step(event.Event{AttemptEnded: &event.AttemptEnded{Attempt: d.Attempt, Outcome: event.AttemptCompleted, UsageKnown: true}})
+		}
+		h.advance(25 * time.Millisecond)
+	}
+	return got
+}
+
+// notice reports what a target says of itself.
+func (h *hosted) notice(name string, e event.TargetNotice) {
+	e.Target, e.Address = name, targetEntry(name).Address
+	h.step(event.Event{TargetNotice: &e})
+}
+
+func TestTargetThatSaysItLeavesGetsNoNewRequests(t *testing.T) {
+	Convey("Given two targets of which one says that it is leaving", t, func() {
+		h := newHosted()
+		h.list(false, startedAt("t1", 100), startedAt("t2", 100))
+		So(h.sendMany(40)["t1"], ShouldBeGreaterThan, 0)
+		h.notice("t1", event.TargetNotice{Leaving: true})
+		Convey("it gets no new requests, and peers are told", func() {
+			So(h.sendMany(40)["t1"], ShouldEqual, 0)
+			So(h.node.members.facts, ShouldContainKey, factKey{event.FactLeaving, "t1", "t1:1/100"})
+		})
+		Convey("an older entry of the list that shows it as ready changes nothing", func() {
+			h.list(false, startedAt("t1", 100), startedAt("t2", 100))
+			h.advance(20 * time.Second)
+			So(h.sendMany(40)["t1"], ShouldEqual, 0)
+		})
+		Convey("neither does a later response without the statement, from a request that it took before", func() {
+			h.notice("t1", event.TargetNotice{})
+			h.advance(20 * time.Second)
+			So(h.sendMany(40)["t1"], ShouldEqual, 0)
+		})
+		Convey("requests are refused at once if no other target is left", func() {
+			h.notice("t2", event.TargetNotice{Leaving: true})
+			h.handle++
+			So(refusal(h.arrive(h.handle, 0)), ShouldNotBeNil)
+		})
+		Convey("it gets requests again once it has started again under its name", func() {
+			h.list(false, startedAt("t1", 200), startedAt("t2", 100))
+			So(h.sendMany(40)["t1"], ShouldBeGreaterThan, 0)
+		})
+	})
+	Convey("A peer's word that an earlier start of a target is leaving does not concern the next one", t, func() {
+		h := newHosted()
+		h.list(false, startedAt("t1", 200), startedAt("t2", 100))
+		h.step(event.Event{PeerReceived: &event.PeerReceived{From: "n2", Incarnation: "1", Message: event.PeerMessage{Heartbeat: &event.Heartbeat{
+			Facts: []event.Fact{{Kind: event.FactLeaving, Name: "t1", Incarnation: "t1:1/100"}, {Kind: event.FactLeaving, Name: "t2", Incarnation: "t2:1/100"}},
+		}}}})
+		got := h.sendMany(40)
+		So(got["t1"], ShouldEqual, 40)
+	})
+}
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -41,6 +41,9 @@
 	reportInterval time.Duration
 	// leaving is set while the target gets no new attempts because it is leaving.
 	leaving bool
+	// saysLeaving is set once the target itself said in a response that it is
+	// leaving.
+	saysLeaving bool
 	// leavingSeenAt is the time of the last evidence that the target is leaving.
 	leavingSeenAt time.Duration
 	// delisted is set while the instance list marks the target as leaving or
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -104,17 +104,14 @@
 // reportNotice reports what a target says of itself in the headers of a response.
 func (x *exchange) reportNotice(d *event.Dispatch, h http.Header) {
 	notice, err := x.server.protocol.ReadNotice(h)
-	if err != nil {
-		if x.server.warnOnce(d.Target) {
-			x.log.Warn("target notice unusable", zap.String("target", d.Target), zap.Error(err))
-		}
-		return
+	if err != nil && x.server.warnOnce(d.Target) {
+		x.log.Warn("target notice unusable", zap.String("target", d.Target), zap.Error(err))
 	}
-	if notice == (TargetNotice{}) && !d.ReportNotice {
+	if notice == (TargetNotice{}) && (err != nil || !d.ReportNotice) {
 		return
 	}
 	x.server.loop.Post(event.Event{TargetNotice: &event.TargetNotice{
-		Target: d.Target, Address: d.Address, Limited: notice.Limited, Limit: notice.Limit,
+		Target: d.Target, Address: d.Address, Leaving: notice.Leaving, Limited: notice.Limited, Limit: notice.Limit,
 	}})
 }
 
--- a/fleet/gateway/protocol.go
+++ b/fleet/gateway/protocol.go
@@ -73,6 +73,8 @@
 
 // TargetNotice is what a target says of itself in a response.
 type TargetNotice struct {
+	// Leaving is set if the target is leaving: it wants no new requests.
+	Leaving bool
 	// Limited is set if the target names a limit: Limit is the number of requests
 	// a second that it takes from all instances together.
 	Limited bool
@@ -99,7 +101,8 @@
 	// target's response whether the target ran the request.
 	ClassifyResponse(resp *http.Response) ExecutionStatus
 	// ReadNotice reads what a target says of itself in the headers of its response.
-	// A value that can't be used has no effect and is returned as an error.
+	// A value that can't be used has no effect and is returned as an error, beside
+	// what else the target says.
 	ReadNotice(h http.Header) (TargetNotice, error)
 	// Refuse writes an error response of the router itself.
 	Refuse(w http.ResponseWriter, refusal Refusal)
