Send nothing to a target for the time that it asks for with 503 and Retry-After

A full target was avoided for 200 ms, and not even that if all were full.

If all targets of a service wait, requests are refused at once as not run, to come back after the shortest wait and a random part of it.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -140,6 +140,9 @@
 type TargetNotice struct {
 	Target  string `json:"target"`
 	Address string `json:"address"`
+	// Wait is how long the target wants no request from this instance, from now on,
+	// or 0.
+	Wait time.Duration `json:"wait,omitempty"`
 	// Leaving is set if the target is leaving.
 	Leaving bool `json:"leaving,omitempty"`
 	// Limited is set if the target named a limit: Limit is the number of requests
--- a/core/node/targetnotices.go
+++ b/core/node/targetnotices.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"plantainfield.example/core/event"
 )
@@ -25,6 +26,9 @@
 	if e.Leaving {
 		n.leavingNoticed(t)
 	}
+	if e.Wait > 0 {
+		n.waitNoticed(t, e.Wait)
+	}
 	n.limitNoticed(t, e)
 }
 
@@ -37,3 +41,58 @@
 	t.saysLeaving = true
 	n.announceLeaving(t)
 }
+
+// waitNoticed handles a target's request to send it nothing for a time. It concerns
+// this instance only.
+func (n *Node) waitNoticed(t *target, wait time.Duration) {
+	if n.now >= t.waitUntil {
+		n.logChange("target waits", "target", t.Name, "for", wait, "others_usable", n.usableTargets(t) > 0)
+	}
+	t.waitUntil = max(t.waitUntil, n.now+wait)
+}
+
+// usableTargets counts the other targets of the services of a target that may get
+// attempts.
+func (n *Node) usableTargets(t *target) int {
+	count := 0
+	for _, serves := range t.Serves {
+		for _, other := range n.members.targetsOf(serves) {
+			if other != t && other.usableAsFallback(n.now) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// noticedRetryAfter returns when a caller may come back if what the targets of a
+// service said of themselves leaves none for its request, or 0 if they said nothing
+// of that kind.
+func (n *Node) noticedRetryAfter(serves string) time.Duration {
+	if wait := n.shortestWait(serves); wait > 0 {
+		return wait + n.randomBelow(max(minWaitSpread, wait/waitSpread))
+	}
+	if n.limitedElsewhere(serves) {
+		return n.limitedRetryAfter(serves)
+	}
+	return 0
+}
+
+const (
+	// minWaitSpread and waitSpread, a divisor of the wait, bound the random time
+	// over which callers return after targets have waited.
+	minWaitSpread = 500 * time.Millisecond
+	waitSpread    = 4
+)
+
+// shortestWait returns the time until a target of a service takes requests again,
+// or 0 if none waits.
+func (n *Node) shortestWait(serves string) time.Duration {
+	shortest := time.Duration(0)
+	for _, t := range n.members.targetsOf(serves) {
+		if wait := t.waitUntil - n.now; wait > 0 && !t.leaving && (shortest == 0 || wait < shortest) {
+			shortest = wait
+		}
+	}
+	return shortest
+}
--- a/core/node/targetnotices_test.go
+++ b/core/node/targetnotices_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 )
 
@@ -78,3 +79,40 @@
 		So(got["t1"], ShouldEqual, 40)
 	})
 }
+
+func TestTargetThatWantsNoRequestsForATimeGetsNone(t *testing.T) {
+	Convey("Given two targets of which one wants nothing for three seconds", t, func() {
+		h := newHosted()
+		h.list(false, targetEntry("t1"), targetEntry("t2"))
+		h.notice("t1", event.TargetNotice{Wait: 3 * time.Second})
+		Convey("it gets nothing in that time, and requests again after it", func() {
+			So(h.sendMany(100)["t1"], ShouldEqual, 0) // 2.5 s
+			h.advance(time.Second)
+			So(h.sendMany(40)["t1"], ShouldBeGreaterThan, 0)
+		})
+		Convey("a shorter wait that it names later does not end the longer one", func() {
+			h.notice("t1", event.TargetNotice{Wait: 100 * time.Millisecond})
+			So(h.sendMany(100)["t1"], ShouldEqual, 0)
+		})
+		Convey("it gets nothing either if all others failed", func() {
+			h.handle++
+			d := dispatched(h.arrive(h.handle, 0))
+			So(d.Target, ShouldEqual, "t2")
+			h.step(event.Event{AttemptEnded: &event.AttemptEnded{Attempt: d.Attempt, Outcome: event.AttemptCrashed}})
+			So(h.sendMany(20)["t1"], ShouldEqual, 0)
+		})
+		Convey("requests are refused at once if all targets wait, and callers return spread out after the shortest wait", func() {
+			h.notice("t2", event.TargetNotice{Wait: 2 * time.Second})
+			seen := map[time.Duration]bool{}
+			for range 20 {
+				h.handle++
+				refused := refusal(h.arrive(h.handle, 0))
+				So(refused, ShouldNotBeNil)
+				So(refused.Ran, ShouldEqual, errkind.RanNo)
+				So(refused.RetryAfter, ShouldBeBetweenOrEqual, 2*time.Second, 2*time.Second+minWaitSpread)
+				seen[refused.RetryAfter] = true
+			}
+			So(len(seen), ShouldBeGreaterThan, 10)
+		})
+	})
+}
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -64,6 +64,9 @@
 	// reportedLiveAt is when the target last reported that it is not leaving.
 	reportedLiveAt time.Duration
 	health         targetHealth
+	// waitUntil is the time until which the target wants no request from this
+	// instance.
+	waitUntil time.Duration
 	// limit is the limit on the requests of all instances that the target names.
 	limit statedLimit
 	// avoidUntil is the time before which the target is avoided, because it
@@ -73,25 +76,27 @@
 
 // usableAsFallback reports whether the target may get attempts if no target is
 // usable.
-func (t *target) usableAsFallback() bool { return !t.leaving && !t.unreachable }
+func (t *target) usableAsFallback(now time.Duration) bool {
+	return !t.leaving && !t.unreachable && now >= t.waitUntil
+}
 
 // usable reports whether the target may get attempts once it has room.
-func (t *target) usable(now time.Duration) bool { return t.usableAsFallback() && now >= t.avoidUntil }
+func (t *target) usable(now time.Duration) bool {
+	return t.usableAsFallback(now) && now >= t.avoidUntil
+}
 
 // chooseTarget selects among the usable targets that have room. If all targets
 // are avoided, it selects among these, since they may have recovered.
 func (n *Node) chooseTarget(r *request) (*target, errkind.Kind) {
 	open, full := n.openTargets(r, func(t *target) bool { return t.usable(n.now) })
 	if len(open) == 0 && !full {
-		open, full = n.openTargets(r, (*target).usableAsFallback)
+		open, full = n.openTargets(r, func(t *target) bool { return t.usableAsFallback(n.now) })
 	}
 	if len(open) == 0 {
 		if full {
 			return nil, errkind.Overloaded
 		}
-		if n.limitedElsewhere(r.Serves) {
-			r.retryAfter = n.limitedRetryAfter(r.Serves)
-		}
+		r.retryAfter = n.noticedRetryAfter(r.Serves)
 		return nil, errkind.NoTarget
 	}
 	if n.sharesLoads() {
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -89,7 +89,7 @@
 		end.Outcome = x.classifyError(ctx, err)
 		end.Unsent = errors.Is(err, upstream.ErrUnsent)
 	} else {
-		x.reportNotice(d, resp.Header)
+		x.reportNotice(d, resp)
 		x.handleResponse(ctx, resp, &end)
 		_ = resp.Body.Close()
 	}
@@ -101,9 +101,9 @@
 	return end
 }
 
-// reportNotice reports what a target says of itself in the headers of a response.
-func (x *exchange) reportNotice(d *event.Dispatch, h http.Header) {
-	notice, err := x.server.protocol.ReadNotice(h)
+// reportNotice reports what a target says of itself in the head of a response.
+func (x *exchange) reportNotice(d *event.Dispatch, resp *http.Response) {
+	notice, err := x.server.protocol.ReadNotice(resp)
 	if err != nil && x.server.warnOnce(d.Target) {
 		x.log.Warn("target notice unusable", zap.String("target", d.Target), zap.Error(err))
 	}
@@ -111,7 +111,7 @@
 		return
 	}
 	x.server.loop.Post(event.Event{TargetNotice: &event.TargetNotice{
-		Target: d.Target, Address: d.Address, Leaving: notice.Leaving, Limited: notice.Limited, Limit: notice.Limit,
+		Target: d.Target, Address: d.Address, Wait: notice.Wait, Leaving: notice.Leaving, Limited: notice.Limited, Limit: notice.Limit,
 	}})
 }
 
--- a/fleet/gateway/protocol.go
+++ b/fleet/gateway/protocol.go
@@ -73,6 +73,8 @@
 
 // TargetNotice is what a target says of itself in a response.
 type TargetNotice struct {
+	// Wait is how long the target wants no request from this instance, or 0.
+	Wait time.Duration
 	// Leaving is set if the target is leaving: it wants no new requests.
 	Leaving bool
 	// Limited is set if the target names a limit: Limit is the number of requests
@@ -100,10 +102,10 @@
 	// ClassifyResponse determines from the status code and the headers of a
 	// target's response whether the target ran the request.
 	ClassifyResponse(resp *http.Response) ExecutionStatus
-	// ReadNotice reads what a target says of itself in the headers of its response.
-	// A value that can't be used has no effect and is returned as an error, beside
+	// ReadNotice reads what a target says of itself in the head of its response. A
+	// value that can't be used has no effect and is returned as an error, beside
 	// what else the target says.
-	ReadNotice(h http.Header) (TargetNotice, error)
+	ReadNotice(resp *http.Response) (TargetNotice, error)
 	// Refuse writes an error response of the router itself.
 	Refuse(w http.ResponseWriter, refusal Refusal)
 }
