Bound the head of a target's response and the events of a stream

Cause: a response header was read whatever its length, informational responses without end, and an event was held until complete.

Change: 64 KiB for a head, 256 KiB for an event; then the attempt fails, its connection is closed and the target avoided. Such a head counts as a failure of the target, not as a crash by the request, which could quarantine innocent bodies.

--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -23,6 +23,9 @@
 	// retried if the response breaks off.
 	maxBufferedBytes = 256 << 10
 	readBufferBytes  = 16 << 10
+	// maxEventBytes bounds an event of a stream, which is held until it is
+	// complete.
+	maxEventBytes = 256 << 10
 )
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -158,7 +161,7 @@
 		return event.AttemptNotStarted
 	case ctx.Err() != nil:
 		return event.AttemptCancelled
-	case errors.Is(err, upstream.ErrResponseMismatch):
+	case errors.Is(err, upstream.ErrResponseMismatch), errors.Is(err, upstream.ErrHeadTooLong):
 		return event.AttemptFailed
 	}
 	return event.AttemptCrashed
@@ -209,6 +212,10 @@
 	}
 }
 
+// errEventTooLong reports that an event of a stream has not ended after
+// maxEventBytes.
+var errEventTooLong = errors.New("an event of the stream is too long")
+
 // errNotResumed reports that a target did not resume a stream.
 var errNotResumed = errors.New("the target did not resume the stream")
 
@@ -265,6 +272,9 @@
 	}
 	x.relay.recordChunk(x.arrived)
 	complete := x.relay.events.add(chunk)
+	if len(x.relay.events.partial) > maxEventBytes {
+		return errEventTooLong
+	}
 	if len(complete) == 0 {
 		return nil
 	}
--- a/fleet/upstream/exchange.go
+++ b/fleet/upstream/exchange.go
@@ -129,8 +129,14 @@
 // readHead reads the header of the next final response. It skips informational
 // (1xx) responses.
 func (x *exchange) readHead(req *http.Request) (*http.Response, error) {
+	source := x.conn.source
+	source.limited, source.left = true, maxHeadBytes
+	defer func() { source.limited = false }()
 	for {
 		resp, err := http.ReadResponse(x.conn.reader, req)
+		if err != nil && source.left == 0 {
+			err = errors.Join(ErrHeadTooLong, err) // the head may break off within a line
+		}
 		if err != nil {
 			return nil, fmt.Errorf("read the response header: %w", err)
 		}
--- a/fleet/upstream/upstream.go
+++ b/fleet/upstream/upstream.go
@@ -69,9 +69,39 @@
 	}
 }
 
+// ErrHeadTooLong reports that the head of a response, informational responses
+// before it included, is longer than maxHeadBytes.
+var ErrHeadTooLong = errors.New("the response header is too long")
+
+// maxHeadBytes bounds the head of a response, up to what one read brings beyond
+// it.
+const maxHeadBytes = 64 << 10
+
+// headLimiter reads from a connection and bounds what is read for a head.
+type headLimiter struct {
+	net.Conn
+	// limited is set while a head is read, of which left bytes may still arrive.
+	limited bool
+	left    int
+}
+
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.Conn.Read(p)
+	}
+	if l.left == 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := l.Conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // conn is one connection to a target.
 type conn struct {
 	net.Conn
+	// source is what reader reads from.
+	source  *headLimiter
 	reader  *bufio.Reader
 	address string
 	// reuseUntil is the time after which the connection must not be reused.
@@ -118,7 +148,8 @@
 		return nil, err
 	}
 	c.ConnectionsOpened.Add(1)
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), address: address}, nil
+	source := &headLimiter{Conn: raw}
+	return &conn{Conn: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), address: address}, nil
 }
 
 func (c *Client) takeIdle(address string) *conn {
--- a/fleet/upstream/upstream_test.go
+++ b/fleet/upstream/upstream_test.go
@@ -230,3 +230,42 @@
 		<-closed
 	})
 }
+
+func TestEndlessHeadsAreBounded(t *testing.T) {
+	heads := map[string]string{
+		"one header without end":           "HTTP/1.1 200 OK\r\nX-Endless: ",
+		"headers without end":              "HTTP/1.1 200 OK\r\n",
+		"no status line":                   "",
+		"informational responses for good": "",
+	}
+	repeated := map[string]string{
+		"one header without end": "aaaaaaaa", "headers without end": "X-More: 1\r\n", "no status line": "abcdefgh",
+		"informational responses for good": "HTTP/1.1 103 Early Hints\r\n\r\n",
+	}
+	for name, head := range heads {
+		Convey("A target that sends "+name, t, func() {
+			sent := make(chan int, 1)
+			address, connections := newScriptedTarget(t, func(_ int64, c net.Conn, requests *bufio.Reader) {
+				if _, _, err := readRequest(requests); err != nil {
+					return
+				}
+				total, _ := io.WriteString(c, head)
+				block := strings.Repeat(repeated[name], 512)
+				for {
+					n, err := io.WriteString(c, block)
+					if total += n; err != nil {
+						sent <- total
+						return
+					}
+				}
+			})
+			_, err := post(NewClient(attemptHeader), address, "a", nil)
+			Convey("gets its connection closed after a bounded number of bytes", func() {
+				So(errors.Is(err, ErrHeadTooLong), ShouldBeTrue)
+				So(errors.Is(err, ErrUnsent), ShouldBeFalse)
+				So(<-sent, ShouldBeLessThan, 32<<20) // what socket buffers take
+				So(connections.Load(), ShouldEqual, 1)
+			})
+		})
+	}
+}
