Count what targets say of themselves; play it under random faults

plantainfield_target_notices_total counts responses by what they say, and the status names targets as waiting or limited. TestTargetsThatLeaveOrWaitAreLeftAloneUnder- RandomFaults plays targets that leave and ask for waits while instances are cut off, killed and started; it fails if either statement is not handled (requests 3 and 4 in a wait; requests 2 s after a target said that it leaves).

--- a/core/event/action.go
+++ b/core/event/action.go
@@ -170,10 +170,12 @@
 
 // TargetStatus is the state of one target.
 type TargetStatus struct {
-	Name     string   `json:"name"`
-	Serves   []string `json:"serves"`
-	State    string   `json:"state"`
-	InFlight int      `json:"inFlight"`
+	Name   string   `json:"name"`
+	Serves []string `json:"serves"`
+	// State is "live", "limited" (the target names a limit), "waiting" (it wants no
+	// request for a time), "unreachable" (it is avoided) or "leaving".
+	State    string `json:"state"`
+	InFlight int    `json:"inFlight"`
 }
 
 // BudgetStatus is the state of one budget in the ledger when it was last read.
--- a/core/node/status.go
+++ b/core/node/status.go
@@ -45,7 +45,7 @@
 	}
 	for _, name := range n.members.targetNames() {
 		t := n.members.targets[name]
-		st.Targets = append(st.Targets, event.TargetStatus{Name: name, Serves: t.Serves, State: stateName(t.leaving, n.now >= t.avoidUntil), InFlight: t.inFlight})
+		st.Targets = append(st.Targets, event.TargetStatus{Name: name, Serves: t.Serves, State: n.targetState(t), InFlight: t.inFlight})
 	}
 	if n.configs.index != nil {
 		for i := range n.configs.index.Document.Budgets {
@@ -56,6 +56,16 @@
 	return st
 }
 
+func (n *Node) targetState(t *target) string {
+	switch {
+	case !t.leaving && n.now < t.waitUntil:
+		return "waiting"
+	case !t.leaving && n.now >= t.avoidUntil && t.limit.known:
+		return "limited"
+	}
+	return stateName(t.leaving, n.now >= t.avoidUntil)
+}
+
 func stateName(leaving, reachable bool) string {
 	switch {
 	case leaving:
--- a/core/node/targetlimits_test.go
+++ b/core/node/targetlimits_test.go
@@ -194,3 +194,69 @@
 		}
 	})
 }
+
+// rememberSigns makes targets say at random that they leave or want nothing for a
+// time, and returns what breaks these statements: attempts of an instance to a
+// target that it knew to leave for leavingGrace, or more than maxDuringWait in a
+// wait.
+func (s *limitedTargets) rememberSigns() (broken func() []string) {
+	const (
+		leavingGrace  = 2 * time.Second
+		maxDuringWait = 2
+	)
+	type heard struct {
+		leaving, waitFrom, waitUntil time.Duration
+		during                       int
+	}
+	signs := map[toldKey]*heard{}
+	var found []string
+	leaves := map[string]bool{}
+	s.dispatched = func(in *simulatedNode, a event.Dispatch) {
+		key := toldKey{in.name, in.incarnation, a.Target}
+		h := signs[key]
+		if h == nil {
+			h = &heard{}
+			signs[key] = h
+		}
+		if h.leaving > 0 && s.now-h.leaving > leavingGrace {
+			found = append(found, fmt.Sprintf("%v: %s sends to %s, which said at %v that it leaves", s.now, in.name, a.Target, h.leaving))
+		}
+		if s.now >= h.waitFrom && s.now < h.waitUntil {
+			if h.during++; h.during > maxDuringWait {
+				found = append(found, fmt.Sprintf("%v: %s sends request %d to %s, which waits until %v", s.now, in.name, h.during, a.Target, h.waitUntil))
+			}
+		}
+		leaves[a.Target] = leaves[a.Target] || a.Target == "t1" && s.now > 15*time.Second
+		notice := event.TargetNotice{Target: a.Target, Address: a.Address, Leaving: leaves[a.Target]}
+		if s.rng.IntN(20) == 0 {
+			notice.Wait = time.Duration(s.rng.Int64N(int64(3 * time.Second)))
+		}
+		s.schedule(responseDelay, func() {
+			if in.dead {
+				return
+			}
+			if notice.Leaving && h.leaving == 0 {
+				h.leaving = s.now
+			}
+			if notice.Wait > 0 {
+				h.waitFrom, h.waitUntil, h.during = s.now+500*time.Millisecond, max(h.waitUntil, s.now+notice.Wait), 0
+			}
+			s.step(in, event.Event{TargetNotice: &notice})
+		})
+	}
+	return func() []string { return found }
+}
+
+func TestTargetsThatLeaveOrWaitAreLeftAloneUnderRandomFaults(t *testing.T) {
+	Convey("While instances are cut off, killed and started, none sends to a target against its word", t, func() {
+		for seed := range uint64(4) {
+			s := newLimitedTargets(seed, smallFleet(100_000_000), map[string]float64{})
+			broken := s.rememberSigns()
+			for s.now < 25*time.Second {
+				s.runUntil(s.now + time.Duration(s.rng.Int64N(int64(2*time.Second))))
+				s.disrupt()
+			}
+			So(broken(), ShouldBeEmpty)
+		}
+	})
+}
--- a/core/node/targetnotices_test.go
+++ b/core/node/targetnotices_test.go
@@ -94,6 +94,14 @@
 			h.notice("t1", event.TargetNotice{Wait: 100 * time.Millisecond})
 			So(h.sendMany(100)["t1"], ShouldEqual, 0)
 		})
+		Convey("the status names it as waiting, and a target with a limit as limited", func() {
+			h.notice("t2", event.TargetNotice{Limited: true, Limit: 5})
+			states := map[string]string{}
+			for _, target := range h.node.status(nil).Targets {
+				states[target.Name] = target.State
+			}
+			So(states, ShouldResemble, map[string]string{"t1": "waiting", "t2": "limited"})
+		})
 		Convey("it gets nothing either if all others failed", func() {
 			h.handle++
 			d := dispatched(h.arrive(h.handle, 0))
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -107,6 +107,9 @@
 // reportNotice reports what a target says of itself in the head of a response.
 func (x *exchange) reportNotice(d *event.Dispatch, resp *http.Response) {
 	notice, err := x.server.protocol.ReadNotice(resp)
+	if notice != (TargetNotice{}) || err != nil {
+		x.server.metrics.countNotice(notice, err)
+	}
 	if err != nil && x.server.warnOnce(d.Target) {
 		x.log.Warn("target notice unusable", zap.String("target", d.Target), zap.Error(err))
 	}
--- a/fleet/gateway/metrics.go
+++ b/fleet/gateway/metrics.go
@@ -14,6 +14,7 @@
 
 type metrics struct {
 	refused      *prometheus.CounterVec
+	notices      *prometheus.CounterVec
 	responseTime *prometheus.HistogramVec
 	firstEvent   *prometheus.HistogramVec
 }
@@ -24,6 +25,7 @@
 	}
 	return &metrics{
 		refused:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "plantainfield_requests_refused_total", Help: "Requests that the router refused or aborted, by error kind."}, []string{"kind"}),
+		notices:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "plantainfield_target_notices_total", Help: "Responses in which targets said something of themselves, by what they said; unusable if it could not be read."}, []string{"notice"}),
 		responseTime: histogram("plantainfield_answer_seconds", "Time from a request's arrival to the end of its response, by kind of route."),
 		firstEvent:   histogram("plantainfield_first_event_seconds", "Time from a request's arrival to the first data of its stream, by kind of route."),
 	}
@@ -31,7 +33,15 @@
 
 // Collectors returns the server's metrics for registration.
 func (s *Server) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{s.metrics.refused, s.metrics.responseTime, s.metrics.firstEvent}
+	return []prometheus.Collector{s.metrics.refused, s.metrics.notices, s.metrics.responseTime, s.metrics.firstEvent}
+}
+
+func (m *metrics) countNotice(notice TargetNotice, err error) {
+	for name, given := range map[string]bool{"wait": notice.Wait > 0, "leaving": notice.Leaving, "limit": notice.Limited, "unusable": err != nil} {
+		if given {
+			m.notices.WithLabelValues(name).Inc()
+		}
+	}
 }
 
 func (m *metrics) observeResponse(r *config.Route, arrived time.Time) {
