Let a limit that can't be read end no earlier one

A head with an unreadable Server-Limit that also said something else cleared the limit that the target had named before. TestUnusableLimitDoesNotEndAnEarlierOne fails without the new field.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -149,6 +149,9 @@
 	// a second that it takes from all instances together.
 	Limited bool    `json:"limited,omitempty"`
 	Limit   float64 `json:"limit,omitempty"`
+	// LimitUnusable is set if the target named a limit that can't be used: it is
+	// none, but does not end an earlier one either.
+	LimitUnusable bool `json:"limitUnusable,omitempty"`
 }
 
 // AttemptEnded reports the end of an attempt.
--- a/core/node/dispatch.go
+++ b/core/node/dispatch.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// limitedQueueMargin is the part of the expected wait by which a request must
-// have more time left to be queued for targets that name limits. These serve
+// limitedQueueMargin divides the expected wait: a request must have more time left
+// by that part of it to be queued for targets that name limits. These serve
 // requests one by one, and a request that is refused later has waited in vain.
 const limitedQueueMargin = 4
 
--- a/core/node/targetnotices.go
+++ b/core/node/targetnotices.go
@@ -29,7 +29,9 @@
 	if e.Wait > 0 {
 		n.waitNoticed(t, e.Wait)
 	}
-	n.limitNoticed(t, e)
+	if !e.LimitUnusable {
+		n.limitNoticed(t, e)
+	}
 }
 
 // leavingNoticed handles a target's own statement that it is leaving. It holds
--- a/core/node/targetnotices_test.go
+++ b/core/node/targetnotices_test.go
@@ -80,6 +80,18 @@
 	})
 }
 
+func TestUnusableLimitDoesNotEndAnEarlierOne(t *testing.T) {
+	Convey("A target's limit holds after a response with a limit that can't be used, and ends with one that names none", t, func() {
+		h := newHosted()
+		h.list(false, targetEntry("t1"), targetEntry("t2"))
+		h.notice("t1", event.TargetNotice{Limited: true, Limit: 5})
+		h.notice("t1", event.TargetNotice{LimitUnusable: true})
+		So(h.node.members.targets["t1"].limit.known, ShouldBeTrue)
+		h.notice("t1", event.TargetNotice{})
+		So(h.node.members.targets["t1"].limit.known, ShouldBeFalse)
+	})
+}
+
 func TestTargetThatWantsNoRequestsForATimeGetsNone(t *testing.T) {
 	Convey("Given two targets of which one wants nothing for three seconds", t, func() {
 		h := newHosted()
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -113,11 +113,12 @@
 	if err != nil && x.server.warnOnce(d.Target) {
 		x.log.Warn("target notice unusable", zap.String("target", d.Target), zap.Error(err))
 	}
-	if notice == (TargetNotice{}) && (err != nil || !d.ReportNotice) {
+	if notice == (TargetNotice{}) && !d.ReportNotice {
 		return
 	}
 	x.server.loop.Post(event.Event{TargetNotice: &event.TargetNotice{
 		Target: d.Target, Address: d.Address, Wait: notice.Wait, Leaving: notice.Leaving, Limited: notice.Limited, Limit: notice.Limit,
+		LimitUnusable: notice.LimitUnusable,
 	}})
 }
 
--- a/fleet/gateway/protocol.go
+++ b/fleet/gateway/protocol.go
@@ -81,6 +81,8 @@
 	// a second that it takes from all instances together.
 	Limited bool
 	Limit   float64
+	// LimitUnusable is set if the target named a limit that can't be used.
+	LimitUnusable bool
 }
 
 // Refusal is an error response of the router itself.
@@ -103,8 +105,8 @@
 	// target's response whether the target ran the request.
 	ClassifyResponse(resp *http.Response) ExecutionStatus
 	// ReadNotice reads what a target says of itself in the head of its response. A
-	// value that can't be used has no effect and is returned as an error, beside
-	// what else the target says.
+	// value that can't be used is returned as an error, beside what else the target
+	// says.
 	ReadNotice(resp *http.Response) (TargetNotice, error)
 	// Refuse writes an error response of the router itself.
 	Refuse(w http.ResponseWriter, refusal Refusal)
