Keep a target's word that it leaves through entries without its start

An entry of another writer that lacks 'born', or an older one, made a target another one for a moment; its statement that it leaves was forgotten and it got requests again. Such an entry now says nothing of the start that is known. The new case of TestTargetThatSaysItLeavesGetsNoNewRequests failed before (20 of 40 requests).

--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -77,9 +77,13 @@
 }
 
 // targetListed handles a target's entry in the instance list. An entry with
-// another address or another start is another target.
+// another address or a later start is another target. An entry without its start,
+// or with an earlier one, says nothing of the start that is known.
 func (n *Node) targetListed(in event.Instance) {
 	t := n.members.targets[in.Name]
+	if t != nil && t.Address == in.Address {
+		in.StartMillis = max(in.StartMillis, t.StartMillis)
+	}
 	if t == nil || t.Address != in.Address || t.StartMillis != in.StartMillis {
 		t = &target{Instance: in, knownSince: n.now, limiter: limit.New(), prefixes: routing.NewPrefixes()}
 		n.members.targets[in.Name] = t
--- a/core/node/targetnotices_test.go
+++ b/core/node/targetnotices_test.go
@@ -54,6 +54,13 @@
 			h.advance(20 * time.Second)
 			So(h.sendMany(40)["t1"], ShouldEqual, 0)
 		})
+		Convey("neither does an entry of an earlier start, or one that lacks its start", func() {
+			h.list(false, startedAt("t1", 50), startedAt("t2", 100))
+			h.list(false, targetEntry("t1"), startedAt("t2", 100))
+			h.advance(2 * factTimeout)
+			h.list(false, startedAt("t1", 100), startedAt("t2", 100))
+			So(h.sendMany(40)["t1"], ShouldEqual, 0)
+		})
 		Convey("neither does a later response without the statement, from a request that it took before", func() {
 			h.notice("t1", event.TargetNotice{})
 			h.advance(20 * time.Second)
