Log which body an attempt carried, its head and each step of the crash count

Change: log lines only: body in the lines of a request, status in attempt ended; crash counted, crashes cleared, quarantine record received. Measured: go test ./core/node -run 'uarantine|Poison' passes; no logic changed.

--- a/core/node/members.go
+++ b/core/node/members.go
@@ -286,7 +286,7 @@
 	case m.BillHoldAck != nil:
 		n.billHoldAckReceived(p, m.BillHoldAck)
 	case m.QuarantineRecords != nil:
-		n.quarantineRecordsReceived(m.QuarantineRecords)
+		n.quarantineRecordsReceived(p.Name, m.QuarantineRecords)
 	case m.BillHeads != nil:
 		n.billHeadsReceived(m.BillHeads)
 	case m.BillWritten != nil:
--- a/core/node/quarantine.go
+++ b/core/node/quarantine.go
@@ -147,6 +147,7 @@
 		n.recordCrash(r, e.Attempt)
 	case event.AttemptCompleted:
 		if s := n.quarantine.find(r); s != nil && s.record.Count() > 0 {
+			n.logChange("crashes cleared", "body", quarantine.ShortID(s.record.BodyHash), "request", r.Key, "target", r.targetName, "crashes", s.record.Count())
 			s.record.ClearCrashes()
 			n.suspectChanged(s)
 		}
@@ -165,6 +166,7 @@
 	s, _ := n.quarantine.merge(&quarantine.Record{
 		BodyHash: body, Requests: []bill.RequestID{r.id}, Crashes: []quarantine.Crash{{Attempt: attempt, Target: r.targetName}},
 	})
+	n.logChange("crash counted", "body", quarantine.ShortID(body), "request", r.Key, "target", r.targetName, "crashes", s.record.Count())
 	n.suspectChanged(s)
 }
 
@@ -207,10 +209,12 @@
 }
 
 // quarantineRecordsReceived merges the records that a peer sent.
-func (n *Node) quarantineRecordsReceived(m *event.QuarantineRecords) {
+func (n *Node) quarantineRecordsReceived(from string, m *event.QuarantineRecords) {
 	n.quarantine.loaded = true
 	for i := range m.Records {
-		n.quarantine.merge(&m.Records[i])
+		if s, changed := n.quarantine.merge(&m.Records[i]); changed {
+			n.logChange("quarantine record received", "peer", from, "body", quarantine.ShortID(s.record.BodyHash), "crashes", s.record.Count())
+		}
 	}
 }
 
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -48,6 +48,12 @@
 	Claim *Claim `json:"claim,omitempty"`
 }
 
+// shortIDLength is enough to tell the bodies of one log apart.
+const shortIDLength = 8
+
+// ShortID returns the name of a body in log lines.
+func ShortID(bodyHash string) string { return bodyHash[:min(shortIDLength, len(bodyHash))] }
+
 // Decode parses a stored record.
 func Decode(raw []byte) (*Record, error) {
 	r := &Record{}
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -88,17 +88,19 @@
 	}
 	began := time.Now()
 	resp, err := x.server.targets.Do(ctx, d.Address, x.targetRequest(ctx, d), x.body)
+	status := 0
 	if err != nil {
 		end.Outcome = x.classifyError(ctx, err)
 		end.Unsent = errors.Is(err, upstream.ErrUnsent)
 	} else {
+		status = resp.StatusCode
 		x.reportNotice(d, resp)
 		x.handleResponse(ctx, resp, &end)
 		_ = resp.Body.Close()
 	}
 	end.Usage = x.tokenUsage(end)
 	end.BytesDelivered = x.relay.started
-	x.log.Info("attempt ended", zap.String("target", d.Target), zap.String("outcome", string(end.Outcome)),
+	x.log.Info("attempt ended", zap.String("target", d.Target), zap.String("outcome", string(end.Outcome)), zap.Int("status", status),
 		zap.Int64("usage", end.Usage), zap.Int("events", x.relay.events.count), zap.Duration("took", time.Since(began)),
 		zap.Duration("waited", began.Sub(x.arrived)), zap.Duration("first", x.relay.timeToFirst), zap.Duration("pause", x.relay.longestGap), zap.Int64("prompt", x.meta.PromptTokens), zap.Error(err))
 	return end
--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -12,6 +12,7 @@
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/quarantine"
 )
 
 // exchange serves one request. It executes the core's actions one at a time on
@@ -25,6 +26,8 @@
 	index  *config.Index
 	owner  config.KeyOwner
 	body   []byte
+	// bodyHash identifies repeats of the request.
+	bodyHash string
 	// arrived is when the request's header had been read.
 	arrived time.Time
 	handle  uint64
@@ -44,7 +47,9 @@
 	loop := x.server.loop
 	x.handle, x.actions = loop.Open()
 	defer loop.Close(x.handle)
-	x.log = x.server.log.With(zap.String("request", x.meta.AttemptID), zap.String("route", x.route.Name), zap.String("customer", x.owner.Customer))
+	x.bodyHash = x.hashBody()
+	x.log = x.server.log.With(zap.String("request", x.meta.AttemptID), zap.String("route", x.route.Name), zap.String("customer", x.owner.Customer),
+		zap.String("body", quarantine.ShortID(x.bodyHash)))
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.arrived.Add(x.timeout()), errTimeout)
 	defer cancel()
 	x.serves = x.route.Destination(xxhash.Sum64String(x.meta.AttemptID))
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -151,7 +151,7 @@
 // is negated: 0 goes first on a route, the highest value in the core.
 func (x *exchange) arrival(handle uint64) event.RequestArrived {
 	a := event.RequestArrived{
-		Request: handle, Customer: x.owner.Customer, Key: x.meta.AttemptID, BodyHash: x.bodyHash(),
+		Request: handle, Customer: x.owner.Customer, Key: x.meta.AttemptID, BodyHash: x.bodyHash,
 		Kind: event.KindService, Serves: x.serves,
 		Idempotent: x.route.Repeatable(), Resumable: x.route.Resumable, Priority: -int(x.priority()), Deadline: x.timeout(),
 		MaxAttempts: int(x.route.MaxAttempts), HandedOver: true,
@@ -179,9 +179,9 @@
 	return timeout
 }
 
-// bodyHash returns a hash that identifies repeats of a request by method, URI,
+// hashBody returns a hash that identifies repeats of a request by method, URI,
 // customer and body.
-func (x *exchange) bodyHash() string {
+func (x *exchange) hashBody() string {
 	h := sha256.New()
 	for _, part := range [][]byte{[]byte(x.r.Method), []byte(x.r.RequestURI), []byte(x.owner.Customer), x.body} {
 		_, _ = h.Write(part)
