Reproduce BUDGET: a body that ends targets after the head of the answer is sent on

Callers sent a request that ended each target that ran it, and every repeat of it reached one more target. The simulated fleet gets targets that end and objects other than the ledger, and the quarantine's limit of the hosted daemon.

--- a/core/node/budget_simulation_test.go
+++ b/core/node/budget_simulation_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"plantainfield.example/core/config"
@@ -114,6 +115,14 @@
 	// dispatched, if set, is called with each attempt that an instance sends to a
 	// target.
 	dispatched func(in *simulatedNode, a event.Dispatch)
+	// runAttempt, if set, runs an attempt in place of targets that never fail.
+	runAttempt func(in *simulatedNode, a event.Dispatch, r *simulatedRequest)
+	// targets are the entries of the targets in the instance list.
+	targets []event.Instance
+	// objects holds the objects other than the ledger, objectVersion the last
+	// version of one.
+	objects       map[event.ObjectKind]map[string]event.Object
+	objectVersion int
 	// listPending is set while the instance list is to be sent to all instances.
 	listPending bool
 }
@@ -156,6 +165,7 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), policy: grants, fleet: fleet, cut: map[string]bool{},
 		totals: map[string]int64{}, maxTotals: map[string]int64{}, loadFactor: map[string]float64{},
 		recent: map[string][]*simulatedRequest{}, settled: map[string]int64{},
+		targets: []event.Instance{targetEntry("t1"), targetEntry("t2")}, objects: map[event.ObjectKind]map[string]event.Object{},
 	}
 	for c := range fleet.customers {
 		s.totals[customerName(c)] = fleet.prepaid / int64(c+1)
@@ -204,6 +214,7 @@
 	p.Routing.Policy = config.RoutingLeastWork
 	p.Limits.Policy = config.LimitFixed
 	p.Limits.MaxConcurrencyPerTarget = 1000 // no request waits for a target
+	p.Quarantine.MaxTargets = hostedQuarantineTargets
 	p.Addresses = config.AddressPolicy{TTLSeconds: 1}
 	if s.fleet.processors != nil {
 		p.Addresses.RequestsPerProcessor = simulatedRequestsPerProcessor
@@ -215,10 +226,7 @@
 	})
 	s.nodes[slices.Index(s.nodes, old)] = in
 	s.configure(in)
-	entries := []event.Instance{targetEntry("t1"), targetEntry("t2")}
-	for _, n := range s.nodes {
-		entries = append(entries, s.entry(n.name))
-	}
+	entries := s.instanceList()
 	s.schedule(listDelay, func() { s.step(in, event.Event{InstancesListed: &event.InstancesListed{Instances: entries}}) })
 	s.listLater()
 	s.schedule(time.Duration(s.rng.Int64N(int64(hostedTickPeriod))), func() { s.tick(in) })
@@ -237,18 +245,28 @@
 	s.listPending = true
 	s.schedule(changeDelay, func() {
 		s.listPending = false
-		entries := []event.Instance{targetEntry("t1"), targetEntry("t2")}
-		for _, in := range s.nodes {
-			entries = append(entries, s.entry(in.name))
-		}
-		for _, in := range slices.Clone(s.nodes) {
-			if !s.cut[in.name] {
-				s.step(in, event.Event{InstancesListed: &event.InstancesListed{Instances: entries}})
-			}
-		}
+		s.listNow()
 	})
 }
 
+// listNow sends all instances that are not cut off the instance list.
+func (s *budgetSimulation) listNow() {
+	entries := s.instanceList()
+	for _, in := range slices.Clone(s.nodes) {
+		if !s.cut[in.name] {
+			s.step(in, event.Event{InstancesListed: &event.InstancesListed{Instances: entries}})
+		}
+	}
+}
+
+func (s *budgetSimulation) instanceList() []event.Instance {
+	entries := slices.Clone(s.targets)
+	for _, in := range s.nodes {
+		entries = append(entries, s.entry(in.name))
+	}
+	return entries
+}
+
 func (s *budgetSimulation) entry(name string) event.Instance {
 	in := event.Instance{Name: name, Role: event.RoleRouter, Address: name + ":1", PeerAddress: name + ":2", State: event.StateLive}
 	index := slices.IndexFunc(s.nodes, func(n *simulatedNode) bool { return n.name == name })
@@ -262,6 +280,9 @@
 // simulatedRequestsPerProcessor is that of the hosted daemon.
 const simulatedRequestsPerProcessor = 180
 
+// hostedQuarantineTargets is that of the hosted daemon.
+const hostedQuarantineTargets = 3
+
 // hostedTickPeriod is the tick period of the hosted daemon.
 const hostedTickPeriod = 25 * time.Millisecond
 
@@ -377,13 +398,13 @@
 	})
 }
 
-// platformCall implements the platform. It stores one object, and the result of
-// a conflict contains that object.
+// platformCall implements the platform. The result of a conflict contains the
+// stored object.
 func (s *budgetSimulation) platformCall(call event.PlatformCall) event.PlatformResult {
 	r := event.PlatformResult{Call: call.Call, Status: event.PlatformOK}
 	switch {
 	case call.Object.Kind != event.KindLedger:
-		r.Status = event.PlatformNotFound
+		return s.objectCall(call)
 	case call.Op == event.OpGet:
 		s.reads++
 		if s.version == 0 {
@@ -403,6 +424,43 @@
 	return r
 }
 
+// objectCall implements the platform for objects other than the ledger.
+func (s *budgetSimulation) objectCall(call event.PlatformCall) event.PlatformResult {
+	o := call.Object
+	kind := s.objects[o.Kind]
+	if kind == nil {
+		kind = map[string]event.Object{}
+		s.objects[o.Kind] = kind
+	}
+	old, exists := kind[o.Name]
+	r := event.PlatformResult{Call: call.Call, Status: event.PlatformOK, Object: old}
+	switch {
+	case call.Op == event.OpList:
+		for _, name := range sortedKeys(kind) {
+			if strings.HasPrefix(name, o.Name) {
+				r.Objects = append(r.Objects, kind[name])
+			}
+		}
+		return r
+	case call.Op == event.OpCreate && exists, call.Op == event.OpUpdate && exists && old.Version != o.Version:
+		r.Status = event.PlatformConflict
+		return r
+	case call.Op != event.OpCreate && !exists:
+		r.Status = event.PlatformNotFound
+		return r
+	case call.Op == event.OpGet:
+		return r
+	case call.Op == event.OpDelete:
+		delete(kind, o.Name)
+		return r
+	}
+	s.objectVersion++
+	o.Version = fmt.Sprint(s.objectVersion)
+	kind[o.Name] = o
+	r.Object = o
+	return r
+}
+
 func (s *budgetSimulation) deliverToPeer(from *simulatedNode, m event.SendPeer) {
 	for _, to := range s.nodes {
 		if to.name == m.To && !s.cut[to.name] && !s.cut[from.name] && (s.loseMessage == nil || !s.loseMessage(from.name, to.name)) {
@@ -418,6 +476,10 @@
 	r := in.open[a.Request]
 	r.started = s.now
 	r.duration = 200*time.Millisecond + time.Duration(s.rng.Int64N(int64(1500*time.Millisecond)))
+	if s.runAttempt != nil {
+		s.runAttempt(in, a, r)
+		return
+	}
 	s.schedule(r.duration, func() {
 		if in.dead {
 			return
