--- a/core/node/crashingbody_test.go
+++ b/core/node/crashingbody_test.go
@@ -205,6 +205,30 @@
 	})
 }
 
+// disturb cuts off or connects a random instance, or kills it.
+func (s *bodySimulation) disturb() {
+	in := s.nodes[s.rng.IntN(len(s.nodes))]
+	if in.dead {
+		return
+	}
+	s.disturbed[in.name] = s.now
+	if s.rng.IntN(3) == 0 {
+		s.disturbed[in.name] = s.now + 500*time.Millisecond
+		s.kill(in, 500*time.Millisecond)
+		return
+	}
+	s.cut[in.name] = !s.cut[in.name]
+}
+
+// restartAll kills all instances and starts them again.
+func (s *bodySimulation) restartAll() {
+	s.cutAll(false)
+	s.killAll(time.Second)
+	for _, in := range s.nodes {
+		s.disturbed[in.name] = s.now + restartTime
+	}
+}
+
 // innocentsRefused counts the requests with other bodies than crashingBody that
 // were refused as quarantined.
 func (s *bodySimulation) innocentsRefused() int {
@@ -243,3 +267,41 @@
 		}
 	})
 }
+
+func TestBodyThatEndsItsTargetsIsGivenUpByInstancesThatMissedTheEnds(t *testing.T) {
+	// Guards against crashes that only the instances of their time know of.
+	for _, sendsHead := range []bool{false, true} {
+		for _, mean := range []time.Duration{400 * time.Millisecond, 2500 * time.Millisecond} {
+			name := fmt.Sprintf("head %v, sent every %v", sendsHead, mean)
+			Convey("While instances are cut off and killed, a body that ends its targets is sent to at most three more, "+name, t, func() {
+				for seed := range uint64(3) {
+					s := newBodySimulation(seed, sendsHead)
+					s.runUntil(rampUp)
+					s.repeat(popularBody, 100*time.Millisecond)
+					s.repeat(crashingBody, mean)
+					s.runUntil(rampUp + 5*mean)
+					for end := s.now + 20*time.Second; s.now < end; {
+						s.runUntil(s.now + time.Duration(s.rng.Int64N(int64(2*time.Second))))
+						s.disturb()
+					}
+					s.cutAll(false)
+					s.checkBodies(t, fmt.Sprintf("%s, seed %d", name, seed))
+				}
+			})
+			Convey("and after all instances were started anew, "+name, t, func() {
+				for seed := range uint64(3) {
+					s := newBodySimulation(seed, sendsHead)
+					s.runUntil(rampUp)
+					s.repeat(popularBody, 100*time.Millisecond)
+					s.repeat(crashingBody, mean)
+					s.runUntil(rampUp + 5*mean)
+					for range 4 {
+						s.restartAll()
+						s.runUntil(s.now + 8*time.Second)
+					}
+					s.checkBodies(t, fmt.Sprintf("%s, seed %d", name, seed))
+				}
+			})
+		}
+	}
+}
