--- a/core/node/crashingbody_test.go
+++ b/core/node/crashingbody_test.go
@@ -64,6 +64,8 @@
 	// sendsHead is set if targets send the head of an answer before crashingBody
 	// ends them.
 	sendsHead bool
+	// plainAnswers is set if other answers have no head before they are complete.
+	plainAnswers bool
 	// disturbed is when each instance was last cut off, connected or started.
 	disturbed map[string]time.Duration
 	// crashed counts the targets that ended under crashingBody; thirdAt is when the
@@ -110,6 +112,9 @@
 		}
 		x := &runningAttempt{in: in, attempt: a.Attempt, request: a.Request, r: r}
 		x.headAt = s.now + time.Duration(s.rng.Int64N(int64(maxHeadDelay)))
+		if s.plainAnswers {
+			x.headAt = s.now + r.duration
+		}
 		x.eventsAt = x.headAt + firstEventDelay
 		t.running = append(t.running, x)
 		if s.bodies[a.Request] == crashingBody {
@@ -305,3 +310,27 @@
 		}
 	}
 }
+
+func TestPopularBodyIsNotGivenUpWithOneTarget(t *testing.T) {
+	// Guards against many requests with one body on one target that count like many targets.
+	for _, plain := range []bool{false, true} {
+		for _, mean := range []time.Duration{8 * time.Millisecond, 100 * time.Millisecond} {
+			name := fmt.Sprintf("plain answers %v, sent every %v", plain, mean)
+			Convey("A body is not given up because a target that ran it ended for another reason, "+name, t, func() {
+				for seed := range uint64(3) {
+					s := newBodySimulation(seed, true)
+					s.plainAnswers = plain
+					s.runUntil(rampUp)
+					s.repeat(popularBody, mean)
+					for round := range 3 {
+						s.runUntil(s.now + 4*time.Second)
+						s.endTarget(s.byName[fmt.Sprintf("t%d", round+1)])
+					}
+					s.runUntil(s.now + 4*time.Second)
+					t.Logf("%s, seed %d: %d requests sent, %d innocent ones refused as quarantined", name, seed, len(s.sent), s.innocentsRefused())
+					So(s.innocentsRefused(), ShouldEqual, 0)
+				}
+			})
+		}
+	}
+}
