Count the end of a target as a crash whenever it shows, also after the head

Change: after a lost connection, before or after the head, the gateway connects to the target again. A refusal means that the target ended (crashed), anything else that it broke off the response (failed). A connection that is accepted goes into the pool. The simulation reports what the gateway now reports. Why it works: the body of each attempt that was lost with a target counts, whatever had been relayed.

--- a/core/node/crashingbody_test.go
+++ b/core/node/crashingbody_test.go
@@ -162,10 +162,7 @@
 	t.ended = true
 	for _, x := range t.running {
 		x.over = true
-		e := event.AttemptEnded{Attempt: x.attempt, Outcome: event.AttemptCrashed, UsageKnown: true}
-		if s.now >= x.headAt {
-			e.Outcome, e.BytesDelivered = event.AttemptFailed, s.now >= x.eventsAt
-		}
+		e := event.AttemptEnded{Attempt: x.attempt, Outcome: event.AttemptCrashed, BytesDelivered: s.now >= x.eventsAt, UsageKnown: true}
 		s.schedule(s.linkDelay(), func() { s.step(x.in, event.Event{AttemptEnded: &e}) })
 	}
 	t.running = nil
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -90,13 +90,18 @@
 	resp, err := x.server.targets.Do(ctx, d.Address, x.targetRequest(ctx, d), x.body)
 	status := 0
 	if err != nil {
-		end.Outcome = x.classifyError(ctx, err)
+		end.Outcome = x.classifyError(ctx, d.Address, err)
 		end.Unsent = errors.Is(err, upstream.ErrUnsent)
 	} else {
 		status = resp.StatusCode
 		x.reportNotice(d, resp)
+		body := &trackedBody{ReadCloser: resp.Body}
+		resp.Body = body
 		x.handleResponse(ctx, resp, &end)
-		_ = resp.Body.Close()
+		_ = body.Close()
+		if end.Outcome == event.AttemptFailed && body.err != nil {
+			end.Outcome = x.classifyLostConnection(ctx, d.Address)
+		}
 	}
 	end.Usage = x.tokenUsage(end)
 	end.BytesDelivered = x.relay.started
@@ -160,8 +165,32 @@
 	return x.meta.LastEventID
 }
 
+// trackedBody keeps the error that ended the reading of a body before its end.
+type trackedBody struct {
+	io.ReadCloser
+	err error
+}
+
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		b.err = err
+	}
+	return n, err
+}
+
+// classifyLostConnection returns the outcome of an attempt whose connection was
+// lost, before or after the head of the response: a target that has ended
+// refuses a new connection, one that only broke off the response accepts it.
+func (x *exchange) classifyLostConnection(ctx context.Context, address string) event.AttemptOutcome {
+	if x.server.targets.Refuses(context.WithoutCancel(ctx), address) {
+		return event.AttemptCrashed
+	}
+	return event.AttemptFailed
+}
+
 // classifyError returns the outcome of an attempt that got no response.
-func (x *exchange) classifyError(ctx context.Context, err error) event.AttemptOutcome {
+func (x *exchange) classifyError(ctx context.Context, address string, err error) event.AttemptOutcome {
 	switch {
 	case errors.Is(err, upstream.ErrUnsent) && ctx.Err() == nil:
 		return event.AttemptNotStarted
@@ -170,7 +199,7 @@
 	case errors.Is(err, upstream.ErrResponseMismatch), errors.Is(err, upstream.ErrHeadTooLong):
 		return event.AttemptFailed
 	}
-	return event.AttemptCrashed
+	return x.classifyLostConnection(ctx, address)
 }
 
 // handleResponse relays a response, or sets the outcome of an attempt that the
--- a/fleet/upstream/upstream.go
+++ b/fleet/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -143,6 +144,10 @@
 		}
 		_ = pc.Close()
 	}
+	return c.dial(ctx, address)
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	raw, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -152,6 +157,36 @@
 	return &conn{Conn: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), address: address}, nil
 }
 
+const (
+	// probeTimeout bounds one connection attempt of Refuses.
+	probeTimeout = 250 * time.Millisecond
+	// settleTime is how long a new connection must stay open to show that its
+	// target runs: a process that is ending may still accept one.
+	settleTime = 20 * time.Millisecond
+)
+
+// Refuses reports whether nothing listens at an address. Neither silence nor a
+// connection that is closed at once proves that: a target that has too many
+// connections closes new ones. A connection that stays open is kept for later
+// requests.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	for range 2 {
+		dialCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		pc, err := c.dial(dialCtx, address)
+		cancel()
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		time.Sleep(settleTime)
+		if isIdle(pc.Conn) {
+			c.putIdle(pc, defaultIdleTimeout)
+			return false
+		}
+		_ = pc.Close()
+	}
+	return false
+}
+
 func (c *Client) takeIdle(address string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
