Count the targets that ended under a body, not the attempts that were lost

Callers saw: nothing in the record; a body that several requests carry at once, as a popular lookup, got 502 for good after one target ended with three of them. Cause: Record.Count was the number of attempts. From the limit on the body is refused on arrival, so that no answer could clear it. Change: a crash names the start of its target, and attempts that ended with one start count once. Where the start is unknown, attempts count as before. Why it works: one event counts once, however many requests it took with it.

--- a/core/node/crashingbody_test.go
+++ b/core/node/crashingbody_test.go
@@ -85,7 +85,8 @@
 		budgetSimulation: newBudgetSimulation(seed, spreadPolicy(), smallFleet(100_000_000)), sendsHead: sendsHead,
 		byName: map[string]*endingTarget{}, bodies: map[uint64]string{}, disturbed: map[string]time.Duration{},
 	}
-	for _, e := range s.targets {
+	for i, e := range s.targets {
+		s.targets[i].StartMillis = int64(i + 1)
 		s.byName[e.Name] = &endingTarget{name: e.Name}
 	}
 	for len(s.targets) < endingFleet {
@@ -99,7 +100,9 @@
 func (s *bodySimulation) startTarget() {
 	t := &endingTarget{name: fmt.Sprintf("t%d", len(s.byName)+1)}
 	s.byName[t.name] = t
-	s.targets = append(s.targets, targetEntry(t.name))
+	e := targetEntry(t.name)
+	e.StartMillis = int64(len(s.byName))
+	s.targets = append(s.targets, e)
 }
 
 // run runs an attempt at its target, if that has not ended.
--- a/core/node/quarantine.go
+++ b/core/node/quarantine.go
@@ -164,7 +164,7 @@
 		body = s.record.BodyHash
 	}
 	s, _ := n.quarantine.merge(&quarantine.Record{
-		BodyHash: body, Requests: []bill.RequestID{r.id}, Crashes: []quarantine.Crash{{Attempt: attempt, Target: r.targetName}},
+		BodyHash: body, Requests: []bill.RequestID{r.id}, Crashes: []quarantine.Crash{{Attempt: attempt, Target: r.targetName, Start: r.target.StartMillis}},
 	})
 	n.logChange("crash counted", "body", quarantine.ShortID(body), "request", r.Key, "target", r.targetName, "crashes", s.record.Count())
 	n.suspectChanged(s)
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -24,6 +24,9 @@
 type Crash struct {
 	Attempt string `json:"attempt"`
 	Target  string `json:"target"`
+	// Start is the start of the target in milliseconds since 1970, or 0 if it is
+	// unknown.
+	Start int64 `json:"start,omitempty"`
 }
 
 // Claim is the exclusive right of one attempt to run the body.
@@ -63,8 +66,18 @@
 	return r, nil
 }
 
-// Count returns the number of crashes that have not been cleared.
-func (r *Record) Count() int64 { return int64(len(r.Crashes)) }
+// Count returns the number of crashes that have not been cleared. Attempts that
+// ended with the same start of a target count once.
+func (r *Record) Count() int64 {
+	count := int64(0)
+	for i, c := range r.Crashes {
+		counted := c.Start != 0 && slices.ContainsFunc(r.Crashes[:i], func(e Crash) bool { return e.Target == c.Target && e.Start == c.Start })
+		if !counted {
+			count++
+		}
+	}
+	return count
+}
 
 // Suspect reports whether an attempt with the body needs the claim.
 func (r *Record) Suspect() bool { return len(r.Crashes) > 0 || r.Claim != nil }
