Keep crashes that an instance missed: exchange them by digest, store them for a loss of all

Callers saw: nothing in the record; after restarts of all instances a body that was given up ended up to 9 more targets. Cause: records of bodies were kept in memory and sent to peers twice. An instance that was cut off or not started then never got them, and a loss of all instances lost them. Change: heartbeats carry a digest of the crashes that the sender knows of; instances whose digests differ exchange records. The instance that also closes the grants of lost holders keeps the records in one object of the platform, written at most once a second after changes, and reads it when it starts. Suspects that are not given up are forgotten after ten minutes. Why it works: what was learnt at one instance outlives it at its peers, and at the platform if all are lost; no request waits for either.

--- a/core/event/peer.go
+++ b/core/event/peer.go
@@ -120,6 +120,9 @@
 	Unready bool `json:"unready,omitempty"`
 	// Facts are recent membership changes that the sender knows of.
 	Facts []Fact `json:"facts,omitempty"`
+	// Suspects is a digest of the crashes that the sender knows of, 0 if there
+	// are none.
+	Suspects uint64 `json:"suspectDigest,omitempty"`
 }
 
 // FactKind is a kind of membership change.
--- a/core/node/gossip.go
+++ b/core/node/gossip.go
@@ -275,7 +275,7 @@
 func (n *Node) sendHeartbeat(to []string) {
 	hb := &event.Heartbeat{
 		Generation: n.configs.generation(), Stopping: n.stopping, WantsReply: n.seeking(), Unready: !n.ready(),
-		PeerAddress: n.members.self.PeerAddress, Facts: n.nextFacts(),
+		PeerAddress: n.members.self.PeerAddress, Facts: n.nextFacts(), Suspects: n.quarantineDigest(),
 	}
 	slices.Sort(to)
 	for _, name := range slices.Compact(to) {
@@ -300,6 +300,7 @@
 		p.nextStartupState = n.now + heartbeatPeriod
 		n.sendStartupState(p)
 	}
+	n.quarantineDigestReceived(p, hb.Suspects)
 	if hb.WantsReply || hb.Generation < n.configs.generation() {
 		n.answerHeartbeat(p)
 	}
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -40,6 +40,9 @@
 	// nextStartupState is when the peer may next be sent the state that it needs
 	// to get ready.
 	nextStartupState time.Duration
+	// nextQuarantineSync is when the peer may next be sent quarantine records
+	// because it knows of other crashes.
+	nextQuarantineSync time.Duration
 	// incarnation is the last one that the peer itself or a change of its entry in
 	// the instance list has told; empty if unknown. In a large fleet most peers are
 	// heard directly only now and then.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -55,9 +55,9 @@
 	// gets work. It is unnecessary if the instance list shows the targets' state
 	// in time.
 	TargetReports bool `json:"targetReports,omitempty"`
-	// QuarantineClaims is the use of records and claims in the platform for
-	// bodies that crash targets. Without it, instances learn of such bodies from
-	// peers alone.
+	// QuarantineClaims is the use of claims in the platform for bodies that crash
+	// targets. Without it, instances learn of crashes from peers, and the platform
+	// keeps their records for the case that all instances are lost.
 	QuarantineClaims bool `json:"quarantineClaims,omitempty"`
 }
 
--- a/core/node/quarantine.go
+++ b/core/node/quarantine.go
@@ -51,7 +51,9 @@
 	// writes the record, changed or not, so that a write of a claim whose
 	// result was lost can't take effect later.
 	released []string
-	inFlight bool
+	// changedAt is when the record last changed here.
+	changedAt time.Duration
+	inFlight  bool
 	// tries counts the writes of the update in flight that conflicted or whose
 	// results were lost.
 	tries    int
@@ -69,6 +71,10 @@
 	loaded   bool
 	polling  bool
 	nextPoll time.Duration
+	// changes counts the changes of all records.
+	changes uint64
+	// stored is used without claims.
+	stored storedQuarantine
 	// trialReleases are trials that the platform may still show as held.
 	trialReleases []*trialRelease
 	// trials counts the trials that were requested; it makes their claims
@@ -109,7 +115,7 @@
 // quarantined reports whether the request must not be run again.
 func (n *Node) quarantined(r *request) bool {
 	s := n.quarantine.find(r)
-	return s != nil && s.record.Count() >= n.configs.index.Document.Policies.Quarantine.MaxTargets
+	return s != nil && n.givenUp(s.record)
 }
 
 // admitAttempt reports whether an attempt may start now. If not, it has refused
@@ -175,6 +181,8 @@
 // next tick.
 func (n *Node) suspectChanged(s *suspect) {
 	s.localChanges++
+	s.changedAt = n.now
+	n.quarantine.changes++
 	if len(n.quarantine.unannounced) == 0 {
 		n.sendQuarantineRecords([]string{s.record.BodyHash}, n.members.peerNames())
 	}
@@ -212,7 +220,11 @@
 func (n *Node) quarantineRecordsReceived(from string, m *event.QuarantineRecords) {
 	n.quarantine.loaded = true
 	for i := range m.Records {
-		if s, changed := n.quarantine.merge(&m.Records[i]); changed {
+		s, changed := n.mergeSuspect(&m.Records[i])
+		if s.record.Count() < m.Records[i].Count() { // the sender missed that the body was cleared
+			n.sendQuarantineRecords([]string{s.record.BodyHash}, []string{from})
+		}
+		if changed {
 			n.logChange("quarantine record received", "peer", from, "body", quarantine.ShortID(s.record.BodyHash), "crashes", s.record.Count())
 		}
 	}
@@ -225,6 +237,7 @@
 		n.sendQuarantineRecords(slices.Compact(bodies), n.members.peerNames())
 	}
 	if n.settings.Disabled.QuarantineClaims {
+		n.tickStoredQuarantine()
 		return
 	}
 	for _, body := range sortedKeys(n.quarantine.byBody) {
--- /dev/null
+++ b/core/node/quarantinesync.go
@@ -0,0 +1,234 @@
+package node
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"plantainfield.example/core/event"
+	"plantainfield.example/core/quarantine"
+)
+
+// Without claims, instances tell each other of crashes. What an instance missed,
+// because it was cut off or had not started, it gets from its peers: heartbeats
+// carry a digest of the suspects, and instances whose digests differ exchange
+// their records. For the case that all instances are lost, one of them keeps the
+// records in one object of the platform as well.
+const (
+	// exchangedSuspectAge is the age up to which a suspect that is not given up is
+	// exchanged, maxSuspectAge that up to which it is kept, and maxStoredSuspects
+	// how many of the newest the platform keeps.
+	exchangedSuspectAge = time.Minute
+	maxSuspectAge       = 10 * time.Minute
+	maxStoredSuspects   = 256
+	// storePeriod is the minimum time between two writes of the records.
+	storePeriod = time.Second
+)
+
+// storedQuarantine is this instance's view of the object that holds the records.
+type storedQuarantine struct {
+	// read is set while version is the object's last known version; it is empty if
+	// there is no object.
+	read    bool
+	version string
+	// written is the number of the state's changes that the last successful write
+	// included.
+	written  uint64
+	inFlight bool
+	next     time.Duration
+	failures int
+}
+
+// quarantineObject is the value of the object that holds the records.
+type quarantineObject struct {
+	Records []*quarantine.Record `json:"records"`
+}
+
+// givenUp reports whether a body must not be run again.
+func (n *Node) givenUp(r *quarantine.Record) bool {
+	return r.Count() >= n.configs.index.Document.Policies.Quarantine.MaxTargets
+}
+
+// exchangedSuspects returns the bodies whose records peers should have, in order.
+func (n *Node) exchangedSuspects() []string {
+	var bodies []string
+	for _, body := range sortedKeys(n.quarantine.byBody) {
+		s := n.quarantine.byBody[body]
+		if s.record.Count() > 0 && (n.givenUp(s.record) || n.now-s.changedAt < exchangedSuspectAge) {
+			bodies = append(bodies, body)
+		}
+	}
+	return bodies
+}
+
+// quarantineDigest identifies the crashes in the records that peers should have.
+// It is 0 if there are none, and where each instance polls the records from the
+// platform.
+func (n *Node) quarantineDigest() uint64 {
+	if n.configs.index == nil || !n.settings.Disabled.QuarantineClaims {
+		return 0
+	}
+	digest := uint64(0)
+	for _, body := range n.exchangedSuspects() {
+		for _, c := range n.quarantine.byBody[body].record.Crashes {
+			digest ^= xxhash.Sum64String(body + "\x00" + c.Attempt)
+		}
+	}
+	return digest
+}
+
+// quarantineDigestReceived sends a peer that knows of other crashes the records
+// that this instance has, and a heartbeat, so that the peer does the same.
+func (n *Node) quarantineDigestReceived(p *peer, digest uint64) {
+	if n.configs.index == nil || !n.settings.Disabled.QuarantineClaims || digest == n.quarantineDigest() || n.now < p.nextQuarantineSync {
+		return
+	}
+	p.nextQuarantineSync = n.now + heartbeatPeriod
+	if bodies := n.exchangedSuspects(); len(bodies) > 0 {
+		n.sendQuarantineRecords(bodies, []string{p.Name})
+	}
+	n.answerHeartbeat(p)
+}
+
+// tickStoredQuarantine reads the stored records once and writes them after
+// changes, if this instance is the one to do so. If two instances assume so, both
+// write; the updates are conditional, and records can be merged in any order.
+func (n *Node) tickStoredQuarantine() {
+	q := &n.quarantine
+	s := &q.stored
+	if s.inFlight || n.now < s.next || n.configs.index == nil || !n.members.selfListed || !n.closesGrantsIn(n.ledgers.shards[0]) {
+		return
+	}
+	n.forgetOldSuspects()
+	switch {
+	case !s.read:
+		n.readStoredQuarantine()
+	case q.changes > s.written:
+		n.writeStoredQuarantine()
+	}
+}
+
+// forgetOldSuspects removes suspects that are not given up and are old.
+func (n *Node) forgetOldSuspects() {
+	q := &n.quarantine
+	for body, s := range q.byBody {
+		if n.now-s.changedAt < maxSuspectAge || n.givenUp(s.record) {
+			continue
+		}
+		delete(q.byBody, body)
+		for _, id := range s.record.Requests {
+			delete(q.byKey, id)
+		}
+	}
+}
+
+func storedQuarantineObject() event.Object {
+	return event.Object{Kind: event.KindQuarantine, Name: "suspects"}
+}
+
+func (n *Node) readStoredQuarantine() {
+	s := &n.quarantine.stored
+	s.inFlight = true
+	n.callPlatform(event.OpGet, storedQuarantineObject(), func(res event.PlatformResult) {
+		s.inFlight = false
+		switch res.Status {
+		case event.PlatformOK:
+			n.storedQuarantineRead(res.Object)
+		case event.PlatformNotFound:
+			s.read, s.version, s.failures = true, "", 0
+		default:
+			n.storedQuarantineFailed()
+		}
+	})
+}
+
+// storedQuarantineRead adds the stored records to those of this instance and
+// tells peers of what was new.
+func (n *Node) storedQuarantineRead(o event.Object) {
+	q := &n.quarantine
+	q.stored.read, q.stored.version, q.stored.failures = true, o.Version, 0
+	var value quarantineObject
+	if err := json.Unmarshal(o.Value, &value); err != nil {
+		n.logChange("stored quarantine ignored", "version", o.Version, "error", fmt.Sprint(err))
+		return
+	}
+	changed := 0
+	for _, r := range value.Records {
+		if s, isNew := n.mergeSuspect(r); isNew {
+			changed++
+			q.unannounced = append(q.unannounced, s.record.BodyHash)
+		}
+	}
+	n.logChange("stored quarantine read", "records", len(value.Records), "changed", changed)
+}
+
+func (n *Node) writeStoredQuarantine() {
+	q := &n.quarantine
+	changes := q.changes
+	raw, err := json.Marshal(quarantineObject{Records: n.storedSuspects()})
+	if err != nil {
+		n.logChange("quarantine not stored", "error", err.Error())
+		n.storedQuarantineFailed()
+		return
+	}
+	o := storedQuarantineObject()
+	o.Version, o.Value = q.stored.version, raw
+	op := event.OpUpdate
+	if o.Version == "" {
+		op = event.OpCreate
+	}
+	q.stored.inFlight, q.stored.next = true, n.now+storePeriod
+	n.callPlatform(op, o, func(res event.PlatformResult) {
+		q.stored.inFlight = false
+		switch {
+		case res.Status == event.PlatformOK:
+			q.stored.version, q.stored.written, q.stored.failures = res.Object.Version, changes, 0
+		case res.Status == event.PlatformConflict && res.Object.Value != nil:
+			n.storedQuarantineRead(res.Object)
+		default:
+			n.storedQuarantineFailed()
+		}
+	})
+}
+
+// storedSuspects returns the records to store: those of bodies that are given up,
+// and the newest of the others.
+func (n *Node) storedSuspects() []*quarantine.Record {
+	var suspects []*suspect
+	for _, body := range sortedKeys(n.quarantine.byBody) {
+		if s := n.quarantine.byBody[body]; s.record.Count() > 0 {
+			suspects = append(suspects, s)
+		}
+	}
+	slices.SortStableFunc(suspects, func(a, b *suspect) int { return cmp.Compare(b.changedAt, a.changedAt) })
+	records := make([]*quarantine.Record, 0, len(suspects))
+	for i, s := range suspects {
+		if i < maxStoredSuspects || n.givenUp(s.record) {
+			records = append(records, s.record)
+		}
+	}
+	return records
+}
+
+// storedQuarantineFailed schedules another read after a failed call.
+func (n *Node) storedQuarantineFailed() {
+	s := &n.quarantine.stored
+	s.read = false
+	s.next = n.now + max(storePeriod, n.backoff(s.failures))
+	s.failures++
+}
+
+// mergeSuspect adds what another copy of a record contains and reports whether
+// that was new here.
+func (n *Node) mergeSuspect(o *quarantine.Record) (*suspect, bool) {
+	s, changed := n.quarantine.merge(o)
+	if changed {
+		n.quarantine.changes++
+		s.changedAt = n.now
+	}
+	return s, changed
+}
