Log the budgets, what a closed grant had of each, and spending that isn't reported

Cause: no line said whose tokens a closed grant had, what was left of a budget when it refused, and what an instance had spent without a report, so that true refusals could not be told from tokens that are charged and not consumed. Change: the line 'budgets' (every 2 s at an instance that writes the ledger); the budgets in 'grants closed'; 'own_unreported' in 'ledger updated' and 'ledger update delegated'; the state of the budget in 'tokens unavailable'. No change of logic.

--- a/core/budget/account.go
+++ b/core/budget/account.go
@@ -203,6 +203,9 @@
 // Reserved returns the tokens that are set aside for attempts in flight.
 func (a *Account) Reserved() int64 { return a.reserved }
 
+// Unreported returns the spending that the ledger doesn't know of.
+func (a *Account) Unreported() int64 { return a.spent - a.reported }
+
 // Busy reports whether reservations are open.
 func (a *Account) Busy() bool { return a.reserved > 0 }
 
--- a/core/node/gonegrants.go
+++ b/core/node/gonegrants.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -125,7 +126,11 @@
 			delete(n.ledgers.refresh.idle, g.grantKey)
 		case b.Close(g.holder):
 			grant, c := b.Grants[g.holder], closed[g.holder]
-			closed[g.holder] = closedGrants{c.grants + 1, c.charged + grant.Granted, c.unreported + grant.Granted - grant.Spent}
+			c.grants++
+			c.charged += grant.Granted
+			c.unreported += grant.Granted - grant.Spent
+			c.budgets = append(c.budgets, fmt.Sprintf("%s %d/%d", g.budget, grant.Granted, grant.Granted-grant.Spent))
+			closed[g.holder] = c
 		}
 	}
 	return closed
@@ -133,16 +138,19 @@
 
 // closedGrants sums up the grants of one holder that were closed: what they
 // charge and the part of it that the holder had not reported as spent, in tokens.
+// The same is listed for each budget.
 type closedGrants struct {
 	grants              int
 	charged, unreported int64
+	budgets             []string
 }
 
 // logClosedGrants logs the grants that an update has closed.
 func (n *Node) logClosedGrants(closed map[ledger.Holder]closedGrants) {
 	for _, h := range sortedKeys(closed) {
 		c := closed[h]
-		n.logChange("grants closed", "holder", string(h), "grants", c.grants, "charged", c.charged, "unreported", c.unreported)
+		n.logChange("grants closed", "holder", string(h), "grants", c.grants, "charged", c.charged, "unreported", c.unreported,
+			"charged/unreported", strings.Join(c.budgets[:min(len(c.budgets), maxBudgetsLogged)], ", "))
 	}
 }
 
--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -53,9 +53,14 @@
 	if rd != nil {
 		peersAsked = len(rd.offers) + len(rd.pending)
 	}
+	b := s.shard.Budgets[r.Budget]
+	if b == nil {
+		b = &ledger.Budget{}
+	}
 	n.logChange("tokens unavailable", "request", r.Key, "budget", r.Budget, "kind", string(r.refusal), "tokens", r.WorstCaseTokens, "waited", n.now-r.since,
 		"own_available", n.book.Lookup(r.Budget).Available(), "ledger_available", n.sizing(s, r.Budget).LedgerAvailable, "ledger_age", n.now-s.seenAt,
-		"updating", updating, "conflicts", s.conflicts+s.objectConflicts, "failures", s.failures, "peers_asked", peersAsked)
+		"updating", updating, "conflicts", s.conflicts+s.objectConflicts, "failures", s.failures, "peers_asked", peersAsked,
+		"prepaid", b.Prepaid, "settled", b.SettledTotal(), "unreported", b.UnreportedTotal(), "outstanding", b.Outstanding())
 }
 
 // handOverPeer returns the peer that can admit a request that has not run and
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"plantainfield.example/core/budget"
@@ -51,6 +53,8 @@
 	// nextShortRefill is the same for an update before a grant is used up.
 	nextShortRefill time.Duration
 	nextUpdate      time.Duration
+	// nextBudgetLog is the earliest time of the next log line about the budgets.
+	nextBudgetLog time.Duration
 	// summary is set while the view consists of summaries that a writer sent. It
 	// is good for decisions, but no base of a write: known is not set then.
 	summary bool
@@ -526,20 +530,51 @@
 		outstanding += b.Outstanding()
 		grants += len(b.Grants)
 	}
-	unspent, reserved := n.ownTokens(s)
+	own := n.ownTokens(s)
 	n.logChange("ledger updated", "version", s.version, "operations", operations, "for_peers", remote, "conflicts", s.conflicts+s.objectConflicts, "took", n.now-s.startedAt,
-		"bytes", s.bytes, "grants", grants, "prepaid", prepaid, "settled", settled, "unreported", unreported, "outstanding", outstanding, "own_unspent", unspent, "own_reserved", reserved)
+		"bytes", s.bytes, "grants", grants, "prepaid", prepaid, "settled", settled, "unreported", unreported, "outstanding", outstanding, "own_unspent", own.unspent, "own_reserved", own.reserved, "own_unreported", own.unreported)
+	n.logBudgets(s)
 }
 
-// ownTokens returns what this instance holds of a shard's budgets: the tokens that
-// are free and those that are reserved for attempts in flight.
-func (n *Node) ownTokens(s *ledgerShard) (unspent, reserved int64) {
+// budgetLogPeriod is the minimum time between two log lines about the budgets of a
+// shard, and maxBudgetsLogged the number of budgets, the largest ones, in a line.
+const (
+	budgetLogPeriod  = 2 * time.Second
+	maxBudgetsLogged = 20
+)
+
+// logBudgets logs the state of the largest budgets of a shard, at most once in
+// budgetLogPeriod.
+func (n *Node) logBudgets(s *ledgerShard) {
+	if n.now < s.nextBudgetLog {
+		return
+	}
+	s.nextBudgetLog = n.now + budgetLogPeriod
+	names := slices.SortedStableFunc(slices.Values(sortedKeys(s.shard.Budgets)), func(a, b string) int {
+		return cmp.Compare(s.shard.Budgets[b].Prepaid, s.shard.Budgets[a].Prepaid)
+	})
+	states := make([]string, 0, maxBudgetsLogged)
+	for _, name := range names[:min(len(names), maxBudgetsLogged)] {
+		b := s.shard.Budgets[name]
+		states = append(states, fmt.Sprintf("%s %d/%d/%d/%d", name, b.Prepaid, b.SettledTotal(), b.UnreportedTotal(), b.Outstanding()))
+	}
+	n.logChange("budgets", "shard", s.name, "prepaid/settled/unreported/outstanding", strings.Join(states, ", "))
+}
+
+// heldTokens is what an instance holds of the budgets of a shard: the tokens that
+// are free, those that are reserved for attempts in flight, and those that it has
+// spent and the ledger doesn't know of.
+type heldTokens struct{ unspent, reserved, unreported int64 }
+
+func (n *Node) ownTokens(s *ledgerShard) heldTokens {
+	var own heldTokens
 	for _, name := range n.book.BudgetsInShard(s.index) {
 		a := n.book.Lookup(name)
-		unspent += a.Available()
-		reserved += a.Reserved()
+		own.unspent += a.Available()
+		own.reserved += a.Reserved()
+		own.unreported += a.Unreported()
 	}
-	return unspent, reserved
+	return own
 }
 
 // finishLedgerUpdate ends an update and continues the requests that wait for
--- a/core/node/ledgerwriter.go
+++ b/core/node/ledgerwriter.go
@@ -137,8 +137,9 @@
 		n.setSummaries(s, d.Budgets, m.Budgets)
 		n.reconcileBudgets(s, d.Budgets)
 		if len(d.Operations) > 0 {
-			unspent, reserved := n.ownTokens(s)
-			n.logChange("ledger update delegated", "writer", d.writer, "operations", len(d.Operations), "took", n.now-s.startedAt, "own_unspent", unspent, "own_reserved", reserved)
+			own := n.ownTokens(s)
+			n.logChange("ledger update delegated", "writer", d.writer, "operations", len(d.Operations), "took", n.now-s.startedAt,
+				"own_unspent", own.unspent, "own_reserved", own.reserved, "own_unreported", own.unreported)
 		}
 		n.finishLedgerUpdate(s)
 	default:
