Reproduce RECOVER: budgets are spent because one instance held much of them

Callers saw: 12 s after the return of all instances most requests are refused as budget_exhausted although their customers' budgets cover them.

--- a/core/node/recovery_test.go
+++ b/core/node/recovery_test.go
@@ -53,6 +53,21 @@
 	}
 }
 
+// coveredSince counts the requests that arrived from a time on and that the budgets
+// covered, and those of them that were served.
+func (s *budgetSimulation) coveredSince(from time.Duration) (covered, served int) {
+	for _, r := range s.requests {
+		if r.arrived < from || !r.guaranteed {
+			continue
+		}
+		covered++
+		if r.refused == errkind.None {
+			served++
+		}
+	}
+	return covered, served
+}
+
 func TestBudgetsOutlastRepeatedLossesOfInstances(t *testing.T) {
 	// Guards against budgets that are spent because lost instances held much of them.
 	Convey("After losses of some instances and of all, a quarter of the covered requests is served", t, func() {
@@ -63,15 +78,56 @@
 			a := s.audit()
 			t.Logf("seed %d: %v", seed, a)
 			So(a.Overspent, ShouldEqual, 0)
-			for _, r := range s.requests {
-				if r.arrived < from || !r.guaranteed {
-					continue
-				}
-				covered++
-				if r.refused == errkind.None {
-					served++
-				}
-			}
+			c, ok := s.coveredSince(from)
+			covered, served = covered+c, served+ok
+		}
+		t.Logf("%d of %d covered requests served", served, covered)
+		So(covered, ShouldBeGreaterThan, 0)
+		So(served*1000, ShouldBeGreaterThanOrEqualTo, covered*minRecoveredPerMille)
+	})
+}
+
+// runLossesOfHolders runs 51 seconds in which the instances that serve the two
+// largest customers are killed, one of them twice, and then all processes. It
+// returns when requests are to be served again.
+func runLossesOfHolders(s *budgetSimulation) time.Duration {
+	const lossOfAll = 34 * time.Second
+	for _, step := range []struct {
+		at time.Duration
+		do func()
+	}{
+		{5 * time.Second, func() { s.killInstanceOf(1) }},
+		{14 * time.Second, func() { s.killInstanceOf(0) }},
+		{23 * time.Second, func() { s.killInstanceOf(1) }},
+		{lossOfAll, func() { s.killAll(time.Second) }},
+	} {
+		s.runUntil(step.at)
+		step.do()
+	}
+	s.runUntil(51 * time.Second)
+	return lossOfAll + restartTime + recoveryTime
+}
+
+// killInstanceOf kills the instance on which a customer's callers stay; it starts
+// again soon.
+func (s *budgetSimulation) killInstanceOf(customer int) {
+	s.kill(s.instanceFor(customer), 500*time.Millisecond)
+}
+
+func TestBudgetsOutlastLossesOfTheInstancesThatHoldMost(t *testing.T) {
+	// Guards against budgets that are spent because one instance held much of them.
+	Convey("After losses of the instances of the largest customers and of all, a quarter of the covered requests is served", t, func() {
+		covered, served := 0, 0
+		for seed := range uint64(6) {
+			fleet := smallFleet(2_000_000)
+			fleet.staying = 2
+			s := newBudgetSimulation(seed, spreadPolicy(), fleet)
+			from := runLossesOfHolders(s)
+			a := s.audit()
+			t.Logf("seed %d: %v", seed, a)
+			So(a.Overspent, ShouldEqual, 0)
+			c, ok := s.coveredSince(from)
+			covered, served = covered+c, served+ok
 		}
 		t.Logf("%d of %d covered requests served", served, covered)
 		So(covered, ShouldBeGreaterThan, 0)
