Log the load of an instance

The logs could not tell whether a request at a small instance waits for tokens or for the instance itself. A line every two seconds gives the requests, the processor time, the lateness of the loop's ticks and the new connections to targets. An instance without requests logs nothing unless its loop is late.

--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -136,6 +136,7 @@
 	Adapter    *PlatformAdapter
 	Loop       *runtime.Loop
 	Gateway    *gateway.Server
+	Targets    *upstream.Client
 	Addresses  *gateway.AddressResolver
 	Sender     *peers.Sender
 	Datagrams  *datagram.Transport
@@ -154,6 +155,8 @@
 				p.Loop.ServePlatform(ctx, p.Adapter.PlatformClient, p.Adapter.Settings.Platform.FleetCallsPerSecond)
 			})
 			workers.Go(func() { p.Adapter.PlatformCalls.LogEvery(ctx, callLogPeriod, p.Log) })
+			load := loadLog{loop: p.Loop, server: p.Gateway, targets: p.Targets, log: p.Log}
+			workers.Go(func() { load.run(ctx) })
 			workers.Go(func() { p.Datagrams.Run(ctx) })
 			workers.Go(func() { p.Sender.Run(ctx, p.Loop.PeerMessages()) })
 			for _, task := range p.Adapter.BackgroundTasks(p.Loop, p.Adapter.Self) {
--- /dev/null
+++ b/fleet/daemon/loadlog.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"plantainfield.example/fleet/gateway"
+	"plantainfield.example/fleet/runtime"
+	"plantainfield.example/fleet/upstream"
+)
+
+const (
+	// loadLogPeriod is the time between two log lines with the load of the
+	// instance.
+	loadLogPeriod = 2 * time.Second
+	// minLoggedLateness is the lateness of a tick from which on the load is logged
+	// also if no request arrived.
+	minLoggedLateness = 100 * time.Millisecond
+)
+
+// loadLog logs how busy this instance is.
+type loadLog struct {
+	loop    *runtime.Loop
+	server  *gateway.Server
+	targets *upstream.Client
+	log     *zap.Logger
+}
+
+// run logs the load of each period until ctx ends.
+func (l *loadLog) run(ctx context.Context) {
+	ticker := time.NewTicker(loadLogPeriod)
+	defer ticker.Stop()
+	requests, connections, steps, used, at := uint64(0), uint64(0), uint64(0), processorTime(), time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		requestsNow, connectionsNow, stepsNow := l.server.Requests(), l.targets.ConnectionsOpened.Load(), l.loop.Counters().Steps.Load()
+		usedNow, now := processorTime(), time.Now()
+		late := l.loop.Lateness().Reset()
+		if requestsNow > requests || late.Most >= minLoggedLateness {
+			l.log.Info("instance load", zap.Duration("period", now.Sub(at)), zap.Uint64("requests", requestsNow-requests), zap.Int64("open", l.server.ActiveRequests()),
+				zap.Duration("processor", usedNow-used), zap.Uint64("events", stepsNow-steps), zap.Duration("late_mean", late.Mean()),
+				zap.Duration("late_most", late.Most), zap.Uint64("connections_opened", connectionsNow-connections))
+		}
+		requests, connections, steps, used, at = requestsNow, connectionsNow, stepsNow, usedNow, now
+	}
+}
+
+// processorTime returns the processor time that the process has used, or 0 if it
+// is unknown.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -32,6 +32,8 @@
 	metrics  *metrics
 	// activeRequests is the number of requests in progress.
 	activeRequests atomic.Int64
+	// requests counts the requests that have arrived.
+	requests atomic.Uint64
 	// stopping is set once a stop has begun. Connections are then closed after
 	// their current response.
 	stopping atomic.Bool
@@ -47,6 +49,9 @@
 // ActiveRequests returns the number of requests in progress.
 func (s *Server) ActiveRequests() int64 { return s.activeRequests.Load() }
 
+// Requests returns the number of requests that have arrived.
+func (s *Server) Requests() uint64 { return s.requests.Load() }
+
 // Stop makes each connection close after its current response.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
@@ -62,6 +67,7 @@
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer s.activeRequests.Add(-1)
+	s.requests.Add(1)
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/fleet/runtime/loop.go
+++ b/fleet/runtime/loop.go
@@ -53,6 +53,7 @@
 	// ended is closed once Run has returned.
 	ended    chan struct{}
 	counters Counters
+	lateness Lateness
 	// sendDatagram sends a message that may be lost. It must not block.
 	sendDatagram func(to string, m event.PeerMessage)
 	// tickPeriod is the time between two ticks.
@@ -116,6 +117,9 @@
 // complete.
 func (l *Loop) ShutdownComplete() <-chan struct{} { return l.shutdownComplete }
 
+// Lateness tells how late the loop processes its ticks.
+func (l *Loop) Lateness() *Lateness { return &l.lateness }
+
 // PlatformCalls returns the queue of platform calls to make.
 func (l *Loop) PlatformCalls() <-chan event.PlatformCall { return l.platformCalls }
 
@@ -181,7 +185,8 @@
 		case reply := <-l.dumpRequests:
 			reply <- l.node.Dump()
 			continue
-		case <-ticker.C:
+		case due := <-ticker.C:
+			l.lateness.observe(time.Since(due))
 			e = event.Event{Tick: &event.Tick{}}
 		case e = <-l.events:
 		}
