Log how messages to peers fare, and whole log lines

An instance may miss a writer's answer because its message left late, was lost or came back late; the load of an instance now has the messages to peers that were acknowledged, failed and dropped, and how long they took.

Each batch of about 200 ms appears cut after 8 KB. The ring writes whole lines in parts of at most PIPE_BUF now; that all of them arrive is not shown yet.

--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -155,7 +155,7 @@
 				p.Loop.ServePlatform(ctx, p.Adapter.PlatformClient, p.Adapter.Settings.Platform.FleetCallsPerSecond)
 			})
 			workers.Go(func() { p.Adapter.PlatformCalls.LogEvery(ctx, callLogPeriod, p.Log) })
-			load := loadLog{loop: p.Loop, server: p.Gateway, targets: p.Targets, log: p.Log}
+			load := loadLog{loop: p.Loop, server: p.Gateway, targets: p.Targets, peers: p.Sender, log: p.Log}
 			workers.Go(func() { load.run(ctx) })
 			workers.Go(func() { p.Datagrams.Run(ctx) })
 			workers.Go(func() { p.Sender.Run(ctx, p.Loop.PeerMessages()) })
--- a/fleet/daemon/loadlog.go
+++ b/fleet/daemon/loadlog.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"plantainfield.example/fleet/gateway"
+	"plantainfield.example/fleet/peers"
 	"plantainfield.example/fleet/runtime"
 	"plantainfield.example/fleet/upstream"
 )
@@ -26,6 +27,7 @@
 	loop    *runtime.Loop
 	server  *gateway.Server
 	targets *upstream.Client
+	peers   *peers.Sender
 	log     *zap.Logger
 }
 
@@ -42,11 +44,13 @@
 		}
 		requestsNow, connectionsNow, stepsNow := l.server.Requests(), l.targets.ConnectionsOpened.Load(), l.loop.Counters().Steps.Load()
 		usedNow, now := processorTime(), time.Now()
-		late := l.loop.Lateness().Reset()
+		late, sent := l.loop.Lateness().Reset(), l.peers.Sent()
 		if requestsNow > requests || late.Most >= minLoggedLateness {
 			l.log.Info("instance load", zap.Duration("period", now.Sub(at)), zap.Uint64("requests", requestsNow-requests), zap.Int64("open", l.server.ActiveRequests()),
 				zap.Duration("processor", usedNow-used), zap.Uint64("events", stepsNow-steps), zap.Duration("late_mean", late.Mean()),
-				zap.Duration("late_most", late.Most), zap.Uint64("connections_opened", connectionsNow-connections))
+				zap.Duration("late_most", late.Most), zap.Uint64("connections_opened", connectionsNow-connections),
+				zap.Int("peer_messages", sent.Received), zap.Int("peer_failed", sent.Failed), zap.Int("peer_dropped", sent.Dropped),
+				zap.Duration("peer_mean", sent.Mean()), zap.Duration("peer_most", sent.Most))
 		}
 		requests, connections, steps, used, at = requestsNow, connectionsNow, stepsNow, usedNow, now
 	}
--- a/fleet/logring/logring.go
+++ b/fleet/logring/logring.go
@@ -3,6 +3,8 @@
 package logring
 
 import (
+	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -17,8 +19,10 @@
 	// ringLines bounds the number of queued lines; the shortest lines have
 	// about 256 bytes.
 	ringLines = ringBytes / 256
-	// batchBytes is the approximate maximum size of one write.
+	// batchBytes is the approximate maximum size of a batch of lines.
 	batchBytes = 32 << 10
+	// maxWriteBytes is what a pipe takes in one piece (PIPE_BUF).
+	maxWriteBytes = 4 << 10
 	// batchDelay is the time for which lines are collected, so that one write
 	// covers many of them.
 	batchDelay = 200 * time.Millisecond
@@ -137,6 +141,18 @@
 	return append(batch, line...)
 }
 
-// write passes a batch to the writer. A write error is ignored, since there is
-// nowhere left to report it.
-func (r *Ring) write(w io.Writer, batch []byte) { _, _ = w.Write(batch) }
+// write passes a batch to the writer, in parts of whole lines that a pipe takes
+// at once. A write error is ignored, since there is nowhere left to report it.
+func (r *Ring) write(w io.Writer, batch []byte) {
+	for len(batch) > 0 {
+		end := len(batch)
+		if end > maxWriteBytes {
+			end = bytes.LastIndexByte(batch[:maxWriteBytes], '\n') + 1
+		}
+		if end == 0 { // the line is longer
+			end = cmp.Or(bytes.IndexByte(batch, '\n')+1, len(batch))
+		}
+		_, _ = w.Write(batch[:end])
+		batch = batch[end:]
+	}
+}
--- a/fleet/peers/peers.go
+++ b/fleet/peers/peers.go
@@ -85,6 +85,43 @@
 	mu                         sync.Mutex
 	// outboxes holds the queued messages by peer address. It is guarded by mu.
 	outboxes map[string]chan event.SendPeer
+	// sent is what was sent since the last Sent. It is guarded by mu.
+	sent Sent
+}
+
+// Sent counts messages to peers.
+type Sent struct {
+	// Received are the messages that their peers have acknowledged, Failed those
+	// that were not acknowledged, Dropped those that did not fit into the queue of
+	// their peer.
+	Received, Failed, Dropped int
+	// Sum and Most are the sum and the longest of the times from a message's turn
+	// in its queue until it was acknowledged or failed.
+	Sum, Most time.Duration
+}
+
+// Mean returns the mean time that a message took.
+func (s Sent) Mean() time.Duration { return s.Sum / time.Duration(max(1, s.Received+s.Failed)) }
+
+// Sent returns the counts since the last call.
+func (s *Sender) Sent() Sent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sent := s.sent
+	s.sent = Sent{}
+	return sent
+}
+
+func (s *Sender) count(took time.Duration, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.sent.Failed++
+	} else {
+		s.sent.Received++
+	}
+	s.sent.Sum += took
+	s.sent.Most = max(s.sent.Most, took)
 }
 
 // NewSender returns a Sender that identifies itself as this instance.
@@ -103,6 +140,9 @@
 			select {
 			case s.outbox(ctx, m.Address) <- m:
 			default:
+				s.mu.Lock()
+				s.sent.Dropped++
+				s.mu.Unlock()
 			}
 		}
 	}
@@ -132,7 +172,10 @@
 		case <-ctx.Done():
 			return
 		case m := <-box:
-			if err := s.send(ctx, peerpb.NewPeerClient(conn), m); status.Code(err) != codes.DeadlineExceeded {
+			began := time.Now()
+			err := s.send(ctx, peerpb.NewPeerClient(conn), m)
+			s.count(time.Since(began), err)
+			if status.Code(err) != codes.DeadlineExceeded {
 				continue
 			}
 			// The connection may have gone silent although a new one would work.
