Failing test: a busy instance on which callers stay gets no tokens

The simulation can now make an instance late: it processes what arrives after a fixed time. At 110 ms, less than half of the time for which a request waits for tokens, the writer's acceptance comes after acceptTimeout; the instance gives the writer up, reads the object and loses the race for it.

The bound is the promise that no covered request is refused whatever the size of the fleet (docs/PROMISES.md).

--- a/core/node/budget_simulation_test.go
+++ b/core/node/budget_simulation_test.go
@@ -32,6 +32,9 @@
 	// processors is an instance's share of a processor, in thousandths; nil if
 	// instances don't state it. Only then they tell each other their load.
 	processors func(instance int) int64
+	// lateness is how late an instance processes what arrives, because its
+	// processor is busy; nil if none is late.
+	lateness func(instance int) time.Duration
 }
 
 // smallFleet is eight instances and six customers.
@@ -128,6 +131,8 @@
 	// and receivesUntil are when it has carried what is in transit.
 	bytesPerSecond            int64
 	sendsUntil, receivesUntil time.Duration
+	// lateness is how late the instance processes what arrives.
+	lateness time.Duration
 	// open are the requests that this incarnation serves, by handle.
 	open map[uint64]*simulatedRequest
 }
@@ -165,6 +170,9 @@
 		if fleet.linkBytesPerSecond != nil {
 			s.nodes[i].bytesPerSecond = fleet.linkBytesPerSecond(i)
 		}
+		if fleet.lateness != nil {
+			s.nodes[i].lateness = fleet.lateness(i)
+		}
 	}
 	for i := range fleet.instances {
 		s.start(s.nodes[i])
@@ -208,7 +216,7 @@
 	if s.fleet.processors != nil {
 		p.Addresses.RequestsPerProcessor = simulatedRequestsPerProcessor
 	}
-	in := &simulatedNode{name: old.name, incarnation: old.incarnation + 1, bytesPerSecond: old.bytesPerSecond, open: map[uint64]*simulatedRequest{}}
+	in := &simulatedNode{name: old.name, incarnation: old.incarnation + 1, bytesPerSecond: old.bytesPerSecond, lateness: old.lateness, open: map[uint64]*simulatedRequest{}}
 	in.node = New(Settings{
 		Name: in.name, Incarnation: fmt.Sprint(in.incarnation), DataCentre: "dc", LedgerShards: 1, Policies: p, Self: s.entry(in.name),
 		Disabled: Features{Bills: true, BegunRecords: true, ConfigurationStore: true, TargetReports: true, QuarantineClaims: true},
@@ -307,7 +315,16 @@
 	s.schedule(restart, func() { s.start(in) })
 }
 
+// step has an instance process an event, as late as the instance is.
 func (s *budgetSimulation) step(in *simulatedNode, e event.Event) {
+	if in.lateness > 0 {
+		s.schedule(in.lateness, func() { s.process(in, e) })
+		return
+	}
+	s.process(in, e)
+}
+
+func (s *budgetSimulation) process(in *simulatedNode, e event.Event) {
 	if in.dead {
 		return
 	}
@@ -447,11 +464,15 @@
 	})
 }
 
+// firstStayingInstance is the instance on which the largest customer's callers
+// stay, if any do.
+const firstStayingInstance = 7
+
 // instanceFor returns the instance to which a customer's next request goes. The
 // instances on which callers stay are spread over the fleet.
 func (s *budgetSimulation) instanceFor(customer int) *simulatedNode {
 	if customer < s.fleet.staying {
-		return s.nodes[(7+customer*len(s.nodes)/s.fleet.staying)%len(s.nodes)]
+		return s.nodes[(firstStayingInstance+customer*len(s.nodes)/s.fleet.staying)%len(s.nodes)]
 	}
 	return s.chooseInstance()
 }
--- a/core/node/largefleet_test.go
+++ b/core/node/largefleet_test.go
@@ -106,6 +106,35 @@
 	})
 }
 
+const (
+	// stayingInterval is the mean time between two requests of a customer whose
+	// callers all stay on one small instance.
+	stayingInterval = 3700 * time.Microsecond
+	// busyLateness is how late that instance is: less than half of the time for
+	// which a request waits for tokens.
+	busyLateness = 110 * time.Millisecond
+)
+
+func TestBusyInstanceOfLargeFleetGetsTokens(t *testing.T) {
+	// Guards against ledger updates that succeed only at an instance that is in time with its own work.
+	Convey("A busy instance on which callers stay refuses no request that the ledger covers", t, func() {
+		for seed := range uint64(3) {
+			fleet := largeFleet(90)
+			fleet.customers, fleet.staying, fleet.prepaid, fleet.requestInterval = 40, 1, 60_000_000, stayingInterval
+			fleet.lateness = func(i int) time.Duration {
+				if i == firstStayingInstance {
+					return busyLateness
+				}
+				return 0
+			}
+			c := runLargeFleet(seed, spreadPolicy(), fleet)
+			t.Logf("seed %d: %v, %d conflicts", seed, c.audit, c.conflicts)
+			So(c.audit.Overspent, ShouldEqual, 0)
+			So(c.audit.GuaranteedRefused, ShouldEqual, 0)
+		}
+	})
+}
+
 func TestRestartOfLargeFleetDoesNotFloodTheLedger(t *testing.T) {
 	// Guards against instances that all write the ledger before they know their peers.
 	Convey("After a loss of all processes of a large fleet, few updates of the ledger conflict", t, func() {
