Use a ledger writer's late reply, and ask another writer before writing oneself

Cause: a writer had 100 ms to accept by the clock of the asking instance. A busy instance sees each reply late; it ignored it, then read and wrote the object itself over a narrow link, and lost each race against a writer that is in time (15 of 15 own writes met a conflict). Change: a reply that comes late and contains the open operations resolves them, and its writer is no longer avoided; the time for accepting follows what this instance sees, up to 200 ms; a second writer is asked before the instance writes itself. Why it works: lateness of the asking instance no longer turns a write that took effect into a lost race.

--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -58,8 +58,12 @@
 	// summary is set while the view consists of summaries that a writer sent. It
 	// is good for decisions, but no base of a write: known is not set then.
 	summary bool
-	// delegation is the request to a writer that is in flight, or nil.
-	delegation *delegation
+	// delegation is the request to a writer that is in flight, or nil; abandoned
+	// is the last one that was given up. writersAsked counts the requests of the
+	// update in flight.
+	delegation   *delegation
+	abandoned    *delegation
+	writersAsked int
 	// remote are the requests of peers that this instance has accepted and not
 	// answered yet, in order of arrival.
 	remote []*remoteUpdate
@@ -72,6 +76,8 @@
 	avoidedWriters map[string]time.Duration
 	// usualTime is the moving average of the time that updates take.
 	usualTime time.Duration
+	// usualAcceptTime is the same for the time until a writer accepts a request.
+	usualAcceptTime time.Duration
 	// lastDelegation is the ID of the last request to a writer.
 	lastDelegation uint64
 }
@@ -175,7 +181,9 @@
 	}
 }
 
-func (n *Node) beginLedgerUpdate(s *ledgerShard) { s.inFlight, s.startedAt = true, n.now }
+func (n *Node) beginLedgerUpdate(s *ledgerShard) {
+	s.inFlight, s.startedAt, s.writersAsked = true, n.now, 0
+}
 
 // maxExhaustedViewAge is the maximum age of a ledger view on which requests are
 // refused for lack of tokens without reading the ledger again: a fifth of the
--- a/core/node/ledgerwriter.go
+++ b/core/node/ledgerwriter.go
@@ -15,8 +15,15 @@
 
 const (
 	// acceptTimeout bounds the wait until a writer accepts a request. It leaves a
-	// request of a caller enough of its own wait for a write by this instance.
-	acceptTimeout = 100 * time.Millisecond
+	// request of a caller enough of its own wait for another writer. Where writers
+	// usually take longer, as seen by an instance that is busy, the bound is
+	// usualTimeouts times that, up to maxAcceptTimeout.
+	acceptTimeout    = 100 * time.Millisecond
+	maxAcceptTimeout = 200 * time.Millisecond
+	// maxWritersAsked is how many writers are asked for one update before this
+	// instance writes itself. A busy instance, or one with a narrow link, loses
+	// the race against a writer that is in time.
+	maxWritersAsked = 2
 	// writerTimeout bounds the wait for the result of an accepted request. It is
 	// longer than a platform call may take. While requests of callers wait, the
 	// bound is usualTimeouts times what updates usually take, but at least
@@ -42,7 +49,8 @@
 	sentAt time.Duration
 	// timeout is when the writer must have accepted the request or, once it has,
 	// sent the result.
-	timeout time.Duration
+	timeout  time.Duration
+	accepted bool
 }
 
 // remoteUpdate is a request of a peer that this instance has accepted.
@@ -97,11 +105,26 @@
 			Shard: s.index, ID: n.ledgers.lastDelegation, Operations: ops,
 			Budgets: slices.Clone(n.book.BudgetsInShard(s.index)), Urgent: len(n.waitingFor(s)) > 0,
 		},
-		writer: writer, sentAt: n.now, timeout: n.now + acceptTimeout,
+		writer: writer, sentAt: n.now, timeout: n.now + n.acceptWait(),
 	}
+	s.writersAsked++
 	n.sendDelegation(s.delegation)
 }
 
+// acceptWait is how long this instance waits until a writer accepts a request.
+func (n *Node) acceptWait() time.Duration {
+	return min(maxAcceptTimeout, max(acceptTimeout, usualTimeouts*n.ledgers.usualAcceptTime))
+}
+
+// observeAccepted counts the time that a writer took to accept a request.
+func (n *Node) observeAccepted(d *delegation) {
+	if d.accepted {
+		return
+	}
+	d.accepted = true
+	n.ledgers.usualAcceptTime += time.Duration(usualWeight * float64(n.now-d.sentAt-n.ledgers.usualAcceptTime))
+}
+
 func (n *Node) sendDelegation(d *delegation) {
 	m := d.LedgerRequest
 	n.send(d.writer, event.PeerMessage{LedgerRequest: &m})
@@ -111,13 +134,13 @@
 // the result.
 func (n *Node) expediteDelegation(s *ledgerShard) {
 	if d := s.delegation; d != nil && !d.Urgent && len(n.waitingFor(s)) > 0 {
-		d.Urgent, d.timeout = true, n.now+acceptTimeout
+		d.Urgent, d.timeout = true, n.now+n.acceptWait()
 		n.sendDelegation(d)
 	}
 }
 
 // ledgerReplied continues the update whose request the writer answered. Replies
-// to earlier requests, also to those of an earlier incarnation, are ignored.
+// to requests of an earlier incarnation are ignored.
 func (n *Node) ledgerReplied(p *peer, m *event.LedgerReply) {
 	if m.Shard < 0 || m.Shard >= len(n.ledgers.shards) {
 		n.logChange("ledger reply ignored", "peer", p.Name, "shard", m.Shard)
@@ -125,11 +148,16 @@
 	}
 	s := n.ledgers.shards[m.Shard]
 	d := s.delegation
-	if d == nil || d.ID != m.ID || d.writer != p.Name || m.To != string(n.holder) {
+	if m.To != string(n.holder) {
+		return
+	}
+	if d == nil || d.ID != m.ID || d.writer != p.Name {
+		n.lateLedgerReply(s, p, m)
 		return
 	}
 	switch m.Status {
 	case event.LedgerAccepted:
+		n.observeAccepted(d)
 		d.timeout = n.now + n.resultTimeout(d)
 	case event.LedgerApplied:
 		n.observeUpdateTime(s)
@@ -147,6 +175,35 @@
 	}
 }
 
+// lateLedgerReply handles a reply to a request that was given up. Operations that
+// took effect are not repeated, and the writer is asked again.
+func (n *Node) lateLedgerReply(s *ledgerShard, p *peer, m *event.LedgerReply) {
+	if d := s.abandoned; d != nil && d.ID == m.ID && d.writer == p.Name && m.Status != event.LedgerFailed {
+		n.observeAccepted(d)
+		delete(n.ledgers.avoidedWriters, p.Name)
+	}
+	if m.Status != event.LedgerApplied {
+		return
+	}
+	applied := 0
+	for _, name := range sortedKeys(m.Budgets) {
+		a, grant := n.book.Lookup(name), m.Budgets[name].Grants[n.holder]
+		// A summary that contains the open operation is newer than this instance's view.
+		if a == nil || a.Open() == nil || grant == nil || grant.Sequence < a.Open().Sequence {
+			continue
+		}
+		a.Reconcile(m.Budgets[name], n.holder)
+		applied++
+	}
+	if applied == 0 {
+		return
+	}
+	n.logChange("ledger reply came late", "writer", p.Name, "operations", applied, "took", n.now-s.startedAt)
+	for _, r := range n.waitingFor(s) {
+		n.tryReserve(r)
+	}
+}
+
 // resultTimeout is how long this instance waits for the result of an accepted
 // request.
 func (n *Node) resultTimeout(d *delegation) time.Duration {
@@ -180,16 +237,20 @@
 	s.shard, s.known, s.summary, s.seenAt = &ledger.Shard{Budgets: budgets}, false, true, n.now
 }
 
-// abandonDelegation continues the update of a shard without the writer, by a
-// write of this instance: the operations may or may not have taken effect, which
-// the ledger tells. Later updates go to another writer.
+// abandonDelegation continues the update of a shard without the writer, by
+// another one or by a write of this instance: the operations may or may not have
+// taken effect, which the ledger tells. Later updates go to another writer.
 func (n *Node) abandonDelegation(s *ledgerShard, reason string) {
 	d := s.delegation
 	n.observeUpdateTime(s)
-	s.delegation = nil
+	s.delegation, s.abandoned = nil, d
 	n.ledgers.avoidedWriters[d.writer] = n.now + writerAvoidTime
-	s.startedAt = n.now
 	n.logChange("ledger writer avoided", "writer", d.writer, "reason", reason, "after", n.now-d.sentAt, "operations", len(d.Operations))
+	if writer := n.ledgerWriter(s); writer != n.settings.Name && s.writersAsked < maxWritersAsked {
+		n.delegate(s, writer, d.Operations)
+		return
+	}
+	s.startedAt = n.now
 	n.readLedger(s)
 }
 
