Ask peers for tokens while an update of the ledger runs

Cause: peers were asked only after an update had ended; one that was given up and begun again ran for seconds, a request waits 250 ms. Change: after half of its wait a request asks peers as well. While the update runs, it is not refused for what peers lack; when both are in vain, it is refused at once.

--- a/core/node/ledgerwriter_test.go
+++ b/core/node/ledgerwriter_test.go
@@ -55,6 +55,26 @@
 	return f.now - start, f.answers[c].complete && f.answers[c].refused == errkind.None
 }
 
+func TestRequestAsksPeersWhileAnUpdateRuns(t *testing.T) {
+	// Guards against requests that are refused while an update lasts, though peers have the tokens.
+	Convey("Given instances that hold tokens, and calls for the ledger that get no answer", t, func() {
+		f := newWriterFleet()
+		for _, name := range f.nodeNames() {
+			_, ok := f.served(name, 10)
+			So(ok, ShouldBeTrue)
+		}
+		f.runFor(3 * time.Second)
+		f.hooks.interceptCall = func(_ *instance, call event.PlatformCall) bool { return call.Object.Kind == event.KindLedger }
+		available := f.nodes[f.other].node.book.Account("b").Available()
+		Convey("a request that needs more than its instance has is served with tokens of peers", func() {
+			took, ok := f.served(f.other, available+50)
+			t.Logf("available %d, took %v, served %v", available, took, ok)
+			So(ok, ShouldBeTrue)
+			So(took, ShouldBeLessThan, 250*time.Millisecond)
+		})
+	})
+}
+
 func TestCombinedLedgerUpdates(t *testing.T) {
 	Convey("Given instances that combine their ledger updates", t, func() {
 		f := newWriterFleet()
--- a/core/node/transfers.go
+++ b/core/node/transfers.go
@@ -59,6 +59,9 @@
 		if kind == errkind.BudgetExhausted { // the ledger has been read in the meantime
 			r.refusal = kind
 		}
+		if r.askedPeers && n.transfers.rounds[r.Budget] == nil { // peers had none before
+			n.handOverOrRefuse(r, nil)
+		}
 		return
 	}
 	r.refusal = kind
@@ -285,6 +288,7 @@
 	for _, r := range n.waitingForPeers(budgetName) {
 		switch {
 		case !r.askedPeers:
+		case n.updateRunsFor(r):
 		case retrySoon && r.peerDeadline-n.now > roundPause:
 			r.askedPeers, r.askedLedger = false, false // asks the ledger again too
 		default:
@@ -293,6 +297,20 @@
 	}
 }
 
+// updateRunsFor reports whether an update of the ledger runs that may bring the
+// tokens of a request.
+func (n *Node) updateRunsFor(r *request) bool {
+	s := n.ledgers.shardOf(r.Budget)
+	return s.inFlight && s.failures == 0 && !n.waitedTooLong(r)
+}
+
+// peersDue reports whether a request has waited for an update of the ledger for so
+// long that peers are to be asked as well.
+func (n *Node) peersDue(r *request) bool {
+	limit := n.maxWait()
+	return r.refusal == errkind.None && limit > 0 && n.now-r.since >= limit/peerWaitDivisor
+}
+
 // waitedTooLong reports whether a request has waited for tokens for as long as
 // the policy allows. Its refusal is then set to what is known of the budget.
 func (n *Node) waitedTooLong(r *request) bool {
@@ -319,7 +337,10 @@
 			n.handOverOrRefuse(r, n.transfers.rounds[r.Budget])
 			continue
 		}
-		if r.refusal == errkind.None {
+		if n.peersDue(r) {
+			n.askPeers(r, errkind.BudgetUnavailable)
+		}
+		if r.refusal == errkind.None || n.updateRunsFor(r) {
 			continue
 		}
 		if n.now >= r.peerDeadline {
