Know a crash by the end of its target, not by the attempts that were lost

Callers saw: nothing in the record; a body could be refused for good because crashes came back that an answer had cleared. Cause: records and their list of cleared crashes named attempts. The list keeps 64, one target may take more attempts with it, and copies of a record knew different attempts of one end. Change: a crash is identified by its target and that target's start; by the attempt where the start is unknown. Count needs no search for repeats any more, and records grow with targets, not with attempts.

--- a/core/node/quarantinesync.go
+++ b/core/node/quarantinesync.go
@@ -75,7 +75,7 @@
 	digest := uint64(0)
 	for _, body := range n.exchangedSuspects() {
 		for _, c := range n.quarantine.byBody[body].record.Crashes {
-			digest ^= xxhash.Sum64String(body + "\x00" + c.Attempt)
+			digest ^= xxhash.Sum64String(body + "\x00" + c.Event())
 		}
 	}
 	return digest
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strconv"
 
 	"plantainfield.example/core/bill"
 )
@@ -29,6 +30,16 @@
 	Start int64 `json:"start,omitempty"`
 }
 
+// Event identifies what ended the attempt: the end of one start of its target,
+// however many attempts ended with it, or the attempt itself if the start is
+// unknown.
+func (c Crash) Event() string {
+	if c.Start == 0 {
+		return c.Attempt
+	}
+	return c.Target + "@" + strconv.FormatInt(c.Start, 10)
+}
+
 // Claim is the exclusive right of one attempt to run the body.
 type Claim struct {
 	ID          string `json:"id"`
@@ -43,9 +54,8 @@
 	// with another body, too.
 	Requests []bill.RequestID `json:"requests"`
 	Crashes  []Crash          `json:"crashes"`
-	// Cleared lists the attempts and claims that no longer count as crashes:
-	// attempts whose crashes a later complete answer cleared, and claims that
-	// their holders ended.
+	// Cleared lists the events that no longer count as crashes: those that a later
+	// complete answer cleared, and claims that their holders ended.
 	Cleared []string `json:"excused,omitempty"`
 	// Claim is meaningful only in the copy stored in the platform.
 	Claim *Claim `json:"claim,omitempty"`
@@ -66,18 +76,8 @@
 	return r, nil
 }
 
-// Count returns the number of crashes that have not been cleared. Attempts that
-// ended with the same start of a target count once.
-func (r *Record) Count() int64 {
-	count := int64(0)
-	for i, c := range r.Crashes {
-		counted := c.Start != 0 && slices.ContainsFunc(r.Crashes[:i], func(e Crash) bool { return e.Target == c.Target && e.Start == c.Start })
-		if !counted {
-			count++
-		}
-	}
-	return count
-}
+// Count returns the number of crashes that have not been cleared.
+func (r *Record) Count() int64 { return int64(len(r.Crashes)) }
 
 // Suspect reports whether an attempt with the body needs the claim.
 func (r *Record) Suspect() bool { return len(r.Crashes) > 0 || r.Claim != nil }
@@ -103,11 +103,11 @@
 	return changed
 }
 
-// AddCrash records a crash unless it is known or cleared, and reports whether
-// it did.
+// AddCrash records a crash unless its event is known or cleared, and reports
+// whether it did.
 func (r *Record) AddCrash(c Crash) bool {
-	known := slices.ContainsFunc(r.Crashes, func(k Crash) bool { return k.Attempt == c.Attempt })
-	if known || slices.Contains(r.Cleared, c.Attempt) {
+	known := slices.ContainsFunc(r.Crashes, func(k Crash) bool { return k.Event() == c.Event() })
+	if known || slices.Contains(r.Cleared, c.Event()) {
 		return false
 	}
 	r.Crashes = append(r.Crashes, c)
@@ -117,7 +117,7 @@
 // ClearCrashes clears all crashes after a complete answer.
 func (r *Record) ClearCrashes() {
 	for _, c := range r.Crashes {
-		r.Cleared = append(r.Cleared, c.Attempt)
+		r.Cleared = append(r.Cleared, c.Event())
 	}
 	r.dropCleared()
 }
@@ -132,7 +132,7 @@
 func (r *Record) dropCleared() {
 	// Removes the crashes that Cleared lists, and the oldest entries of Cleared
 	// beyond maxListLength.
-	r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool { return slices.Contains(r.Cleared, c.Attempt) })
+	r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool { return slices.Contains(r.Cleared, c.Event()) })
 	if extra := len(r.Cleared) - maxListLength; extra > 0 {
 		r.Cleared = slices.Delete(r.Cleared, 0, extra)
 	}
