Let no error answer clear the crashes of a body

Callers saw: nothing in the record; a body that ended targets could go on doing so. Cause: a whole 5xx answer on a route that can't be repeated ends its attempt as completed, and that cleared the crashes. Targets also answer so when they stop at the deadline that they were given, before they would have ended. Change: an attempt whose target answered with an error clears nothing. Measured: TestErrorAnswersDoNotClearCrashes failed before (7 targets where 2 are allowed) and passes, as do the tests of core/node with -run 'Body|Poison|Quarant'.

--- a/core/node/quarantine.go
+++ b/core/node/quarantine.go
@@ -146,12 +146,13 @@
 }
 
 // updateQuarantine records what the end of an attempt shows about its body: a
-// crash makes it a suspect, a complete answer clears earlier crashes.
+// crash makes it a suspect, a complete answer clears earlier crashes. An error
+// clears none: the target may have stopped before the point at which others ended.
 func (n *Node) updateQuarantine(r *request, e event.AttemptEnded) {
-	switch e.Outcome {
-	case event.AttemptCrashed:
+	switch {
+	case e.Outcome == event.AttemptCrashed:
 		n.recordCrash(r, e.Attempt)
-	case event.AttemptCompleted:
+	case e.Outcome == event.AttemptCompleted && !e.TargetError:
 		if s := n.quarantine.find(r); s != nil && s.record.Count() > 0 {
 			n.logChange("crashes cleared", "body", quarantine.ShortID(s.record.BodyHash), "request", r.Key, "target", r.targetName, "crashes", s.record.Count())
 			s.record.ClearCrashes()
