Let all instances hold a suspect to be equally old

Callers saw: nothing; instances sent each other all records on each heartbeat for up to a minute after one of them had started, and each start made old suspects new. Cause: a suspect was as old at an instance as its copy there. Which suspects are exchanged depends on their age, so digests differed though all records were the same. Change: records are sent with the time since they changed.

--- a/core/event/quarantine.go
+++ b/core/event/quarantine.go
@@ -6,5 +6,11 @@
 // targets. A peer that has just started gets all records that the sender knows,
 // even if there are none.
 type QuarantineRecords struct {
-	Records []quarantine.Record `json:"records"`
+	Records []QuarantineRecord `json:"records"`
+}
+
+// QuarantineRecord is a record and the time since it last changed.
+type QuarantineRecord struct {
+	quarantine.Record
+	AgeMillis int64 `json:"ageMillis"`
 }
--- a/core/node/quarantine.go
+++ b/core/node/quarantine.go
@@ -51,7 +51,8 @@
 	// writes the record, changed or not, so that a write of a claim whose
 	// result was lost can't take effect later.
 	released []string
-	// changedAt is when the record last changed here.
+	// changedAt is when the record last changed at the instance from which the
+	// change came, so that all instances hold it to be equally old.
 	changedAt time.Duration
 	inFlight  bool
 	// tries counts the writes of the update in flight that conflicted or whose
@@ -208,9 +209,10 @@
 func (n *Node) sendQuarantineRecords(bodies, peers []string) {
 	m := &event.QuarantineRecords{}
 	for _, body := range bodies {
-		record := n.quarantine.byBody[body].record.Clone()
+		s := n.quarantine.byBody[body]
+		record := s.record.Clone()
 		record.Claim = nil
-		m.Records = append(m.Records, *record)
+		m.Records = append(m.Records, event.QuarantineRecord{Record: *record, AgeMillis: (n.now - s.changedAt).Milliseconds()})
 	}
 	for _, name := range peers {
 		n.send(name, event.PeerMessage{QuarantineRecords: m})
@@ -221,8 +223,9 @@
 func (n *Node) quarantineRecordsReceived(from string, m *event.QuarantineRecords) {
 	n.quarantine.loaded = true
 	for i := range m.Records {
-		s, changed := n.mergeSuspect(&m.Records[i])
-		if s.record.Count() < m.Records[i].Count() { // the sender missed that the body was cleared
+		o := &m.Records[i]
+		s, changed := n.mergeSuspect(&o.Record, time.Duration(o.AgeMillis)*time.Millisecond)
+		if s.record.Count() < o.Count() { // the sender missed that the body was cleared
 			n.sendQuarantineRecords([]string{s.record.BodyHash}, []string{from})
 		}
 		if changed {
--- a/core/node/quarantinesync.go
+++ b/core/node/quarantinesync.go
@@ -158,7 +158,7 @@
 	}
 	changed := 0
 	for _, r := range value.Records {
-		if s, isNew := n.mergeSuspect(r); isNew {
+		if s, isNew := n.mergeSuspect(r, 0); isNew {
 			changed++
 			q.unannounced = append(q.unannounced, s.record.BodyHash)
 		}
@@ -222,13 +222,17 @@
 	s.failures++
 }
 
-// mergeSuspect adds what another copy of a record contains and reports whether
-// that was new here.
-func (n *Node) mergeSuspect(o *quarantine.Record) (*suspect, bool) {
+// mergeSuspect adds what another copy of a record contains, which last changed age
+// ago, and reports whether that was new here.
+func (n *Node) mergeSuspect(o *quarantine.Record, age time.Duration) (*suspect, bool) {
+	known := n.quarantine.byBody[o.BodyHash] != nil
 	s, changed := n.quarantine.merge(o)
+	if !known {
+		s.changedAt = n.now - age
+	}
 	if changed {
 		n.quarantine.changes++
-		s.changedAt = n.now
+		s.changedAt = max(s.changedAt, n.now-age)
 	}
 	return s, changed
 }
