Forget old suspects at every instance

Callers saw: nothing; an instance kept each body that was ever lost with a target, and sent all of them to each peer that started. Cause: only the instance that stores the suspects forgot those that are old. Change: every instance does. Measured: TestOldSuspectsAreForgotten failed before and passes, as do the tests of core/node with -run 'Body|Poison|Quarant'.

--- a/core/node/quarantine.go
+++ b/core/node/quarantine.go
@@ -241,6 +241,7 @@
 		n.sendQuarantineRecords(slices.Compact(bodies), n.members.peerNames())
 	}
 	if n.settings.Disabled.QuarantineClaims {
+		n.forgetOldSuspects()
 		n.tickStoredQuarantine()
 		return
 	}
--- a/core/node/quarantinesync.go
+++ b/core/node/quarantinesync.go
@@ -103,7 +103,6 @@
 	if s.inFlight || n.now < s.next || n.configs.index == nil || !n.members.selfListed || !n.closesGrantsIn(n.ledgers.shards[0]) {
 		return
 	}
-	n.forgetOldSuspects()
 	switch {
 	case !s.read:
 		n.readStoredQuarantine()
@@ -114,6 +113,9 @@
 
 // forgetOldSuspects removes suspects that are not given up and are old.
 func (n *Node) forgetOldSuspects() {
+	if n.configs.index == nil {
+		return
+	}
 	q := &n.quarantine
 	for body, s := range q.byBody {
 		if n.now-s.changedAt < maxSuspectAge || n.givenUp(s.record) {
