Bound the exchange of suspects while a change spreads

Callers saw: nothing; while a crash became known, each heartbeat between instances of which one did not know it yet moved all records both ways. Cause: the exchange was limited for each peer, and a fleet has hundreds of them. Change: an instance sends its records to one peer in a heartbeat period, to the same peer at most in every other one. The digest is computed without sorting, and only if records could be sent.

--- a/core/node/quarantine.go
+++ b/core/node/quarantine.go
@@ -74,8 +74,10 @@
 	nextPoll time.Duration
 	// changes counts the changes of all records.
 	changes uint64
-	// stored is used without claims.
-	stored storedQuarantine
+	// stored and nextSync are used without claims; nextSync is when records may
+	// next be sent to a peer that knows of other crashes.
+	stored   storedQuarantine
+	nextSync time.Duration
 	// trialReleases are trials that the platform may still show as held.
 	trialReleases []*trialRelease
 	// trials counts the trials that were requested; it makes their claims
--- a/core/node/quarantinesync.go
+++ b/core/node/quarantinesync.go
@@ -53,16 +53,14 @@
 	return r.Count() >= n.configs.index.Document.Policies.Quarantine.MaxTargets
 }
 
+// exchanged reports whether peers should have a record.
+func (n *Node) exchanged(s *suspect) bool {
+	return s.record.Count() > 0 && (n.givenUp(s.record) || n.now-s.changedAt < exchangedSuspectAge)
+}
+
 // exchangedSuspects returns the bodies whose records peers should have, in order.
 func (n *Node) exchangedSuspects() []string {
-	var bodies []string
-	for _, body := range sortedKeys(n.quarantine.byBody) {
-		s := n.quarantine.byBody[body]
-		if s.record.Count() > 0 && (n.givenUp(s.record) || n.now-s.changedAt < exchangedSuspectAge) {
-			bodies = append(bodies, body)
-		}
-	}
-	return bodies
+	return slices.DeleteFunc(sortedKeys(n.quarantine.byBody), func(body string) bool { return !n.exchanged(n.quarantine.byBody[body]) })
 }
 
 // quarantineDigest identifies the crashes in the records that peers should have.
@@ -73,8 +71,11 @@
 		return 0
 	}
 	digest := uint64(0)
-	for _, body := range n.exchangedSuspects() {
-		for _, c := range n.quarantine.byBody[body].record.Crashes {
+	for body, s := range n.quarantine.byBody {
+		if !n.exchanged(s) {
+			continue
+		}
+		for _, c := range s.record.Crashes {
 			digest ^= xxhash.Sum64String(body + "\x00" + c.Event())
 		}
 	}
@@ -82,12 +83,17 @@
 }
 
 // quarantineDigestReceived sends a peer that knows of other crashes the records
-// that this instance has, and a heartbeat, so that the peer does the same.
+// that this instance has, and a heartbeat, so that the peer does the same. It does
+// so for one peer in a heartbeat period and in turn: while a change spreads, the
+// digests of most peers differ.
 func (n *Node) quarantineDigestReceived(p *peer, digest uint64) {
-	if n.configs.index == nil || !n.settings.Disabled.QuarantineClaims || digest == n.quarantineDigest() || n.now < p.nextQuarantineSync {
+	if n.now < n.quarantine.nextSync || n.now < p.nextQuarantineSync {
+		return
+	}
+	if n.configs.index == nil || !n.settings.Disabled.QuarantineClaims || digest == n.quarantineDigest() {
 		return
 	}
-	p.nextQuarantineSync = n.now + heartbeatPeriod
+	n.quarantine.nextSync, p.nextQuarantineSync = n.now+heartbeatPeriod, n.now+2*heartbeatPeriod
 	if bodies := n.exchangedSuspects(); len(bodies) > 0 {
 		n.sendQuarantineRecords(bodies, []string{p.Name})
 	}
