Ask for the stored suspects every second until they are read

Cause: reads that failed were repeated with the delay for failed writes. Change: a read is repeated after a second. Measured: TestStoredSuspectsAreReadSoonAfterTheStoreReturns failed before and passes, as do the tests of core/node with -run 'TestStoredSus|TestExchange|Body|Quarant'.

--- a/core/node/quarantinesync.go
+++ b/core/node/quarantinesync.go
@@ -25,7 +25,7 @@
 	exchangedSuspectAge = time.Minute
 	maxSuspectAge       = 10 * time.Minute
 	maxStoredSuspects   = 256
-	// storePeriod is the minimum time between two writes of the records.
+	// storePeriod is the minimum time between two reads or writes of the records.
 	storePeriod = time.Second
 )
 
@@ -148,8 +148,8 @@
 			n.storedQuarantineRead(res.Object)
 		case event.PlatformNotFound:
 			s.read, s.version, s.failures = true, "", 0
-		default:
-			n.storedQuarantineFailed()
+		default: // until it is read, what was known before a loss of all is not
+			s.next = n.now + storePeriod
 		}
 	})
 }
