Test how an upstream client tells targets that ended from others

Targets that listen, end, end just after they accepted a connection, reset connections, send without being asked, or are silent, and how many connections of probes are kept. No fault found: three runs with -race pass.

--- a/fleet/upstream/upstream_test.go
+++ b/fleet/upstream/upstream_test.go
@@ -7,12 +7,16 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
 )
 
 const attemptHeader = "X-Id"
@@ -269,3 +273,111 @@
 		})
 	}
 }
+
+func TestRefusesTellsTargetsThatEndedFromOthers(t *testing.T) {
+	// Guards against targets that end and are taken for ones that broke off a response, and the other way round.
+	waitForClose := func(_ int64, _ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte() }
+	Convey("An address at which nothing listens refuses", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		_ = l.Close()
+		client := NewClient(attemptHeader)
+		So(client.Refuses(context.Background(), l.Addr().String()), ShouldBeTrue)
+		So(client.idle, ShouldBeEmpty)
+	})
+	Convey("A target that listens does not, and the next request uses the connection", t, func() {
+		address, connections := newScriptedTarget(t, func(_ int64, c net.Conn, r *bufio.Reader) {
+			for {
+				id, _, err := readRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, responseWithID(id, "ok "+id))
+			}
+		})
+		client := NewClient(attemptHeader)
+		So(client.Refuses(context.Background(), address), ShouldBeFalse)
+		got, err := post(client, address, "a", nil)
+		So(err, ShouldBeNil)
+		So(got, ShouldEqual, "ok a")
+		So(connections.Load(), ShouldEqual, 1)
+	})
+	Convey("A target that closes new connections, as one with too many does, does not refuse either, and none is kept", t, func() {
+		address, connections := newScriptedTarget(t, func(_ int64, c net.Conn, _ *bufio.Reader) {
+			_ = c.(*net.TCPConn).SetLinger(0) // resets the connection
+		})
+		client := NewClient(attemptHeader)
+		So(client.Refuses(context.Background(), address), ShouldBeFalse)
+		So(connections.Load(), ShouldEqual, 2)
+		So(client.idle, ShouldBeEmpty)
+	})
+	Convey("A target that accepts a connection just before it ends refuses", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		go func() {
+			c, err := l.Accept()
+			_ = l.Close()
+			if err == nil {
+				_ = c.Close()
+			}
+		}()
+		client := NewClient(attemptHeader)
+		So(client.Refuses(context.Background(), l.Addr().String()), ShouldBeTrue)
+		So(client.idle, ShouldBeEmpty)
+	})
+	Convey("A connection on which data arrives without a request is not kept", t, func() {
+		address, _ := newScriptedTarget(t, func(_ int64, c net.Conn, r *bufio.Reader) {
+			_, _ = io.WriteString(c, responseWithID("none", "unsolicited"))
+			_, _ = r.ReadByte()
+		})
+		client := NewClient(attemptHeader)
+		So(client.Refuses(context.Background(), address), ShouldBeFalse)
+		So(client.idle, ShouldBeEmpty)
+	})
+	Convey("A target that is silent does not refuse, and is not waited for longer than the limit", t, func() {
+		address := newSilentAddress(t)
+		client := NewClient(attemptHeader)
+		began := time.Now()
+		So(client.Refuses(context.Background(), address), ShouldBeFalse)
+		So(time.Since(began), ShouldBeBetween, probeTimeout, waitLimit)
+		So(client.idle, ShouldBeEmpty)
+	})
+	Convey("The pool holds no more connections of probes than of requests", t, func() {
+		address, _ := newScriptedTarget(t, waitForClose)
+		client := NewClient(attemptHeader)
+		var probes sync.WaitGroup
+		for range 2 * maxIdlePerTarget {
+			probes.Go(func() { client.Refuses(context.Background(), address) })
+		}
+		probes.Wait()
+		So(client.idle[address], ShouldHaveLength, maxIdlePerTarget)
+	})
+}
+
+// waitLimit is well above what a test may wait for.
+const waitLimit = 10 * time.Second
+
+// newSilentAddress returns an address at which connections are neither accepted
+// nor refused.
+func newSilentAddress(t *testing.T) string {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	if err := errors.Join(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), unix.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(bound.(*unix.SockaddrInet4).Port)).String()
+	for { // fill the queue of connections that were not accepted
+		c, err := net.DialTimeout("tcp", address, dialTimeout)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+}
