--- a/core/node/quarantine.go
+++ b/core/node/quarantine.go
@@ -51,7 +51,8 @@
 	// writes the record, changed or not, so that a write of a claim whose
 	// result was lost can't take effect later.
 	released []string
-	// changedAt is when the record last changed here.
+	// changedAt is when the record last changed at the instance from which the
+	// change came, so that all instances hold it to be equally old.
 	changedAt time.Duration
 	inFlight  bool
 	// tries counts the writes of the update in flight that conflicted or whose
@@ -73,8 +74,10 @@
 	nextPoll time.Duration
 	// changes counts the changes of all records.
 	changes uint64
-	// stored is used without claims.
-	stored storedQuarantine
+	// stored and nextSync are used without claims; nextSync is when records may
+	// next be sent to a peer that knows of other crashes.
+	stored   storedQuarantine
+	nextSync time.Duration
 	// trialReleases are trials that the platform may still show as held.
 	trialReleases []*trialRelease
 	// trials counts the trials that were requested; it makes their claims
@@ -146,12 +149,13 @@
 }
 
 // updateQuarantine records what the end of an attempt shows about its body: a
-// crash makes it a suspect, a complete answer clears earlier crashes.
+// crash makes it a suspect, a complete answer clears earlier crashes. An error
+// clears none: the target may have stopped before the point at which others ended.
 func (n *Node) updateQuarantine(r *request, e event.AttemptEnded) {
-	switch e.Outcome {
-	case event.AttemptCrashed:
+	switch {
+	case e.Outcome == event.AttemptCrashed:
 		n.recordCrash(r, e.Attempt)
-	case event.AttemptCompleted:
+	case e.Outcome == event.AttemptCompleted && !e.TargetError:
 		if s := n.quarantine.find(r); s != nil && s.record.Count() > 0 {
 			n.logChange("crashes cleared", "body", quarantine.ShortID(s.record.BodyHash), "request", r.Key, "target", r.targetName, "crashes", s.record.Count())
 			s.record.ClearCrashes()
@@ -207,9 +211,10 @@
 func (n *Node) sendQuarantineRecords(bodies, peers []string) {
 	m := &event.QuarantineRecords{}
 	for _, body := range bodies {
-		record := n.quarantine.byBody[body].record.Clone()
+		s := n.quarantine.byBody[body]
+		record := s.record.Clone()
 		record.Claim = nil
-		m.Records = append(m.Records, *record)
+		m.Records = append(m.Records, event.QuarantineRecord{Record: *record, AgeMillis: (n.now - s.changedAt).Milliseconds()})
 	}
 	for _, name := range peers {
 		n.send(name, event.PeerMessage{QuarantineRecords: m})
@@ -220,8 +225,9 @@
 func (n *Node) quarantineRecordsReceived(from string, m *event.QuarantineRecords) {
 	n.quarantine.loaded = true
 	for i := range m.Records {
-		s, changed := n.mergeSuspect(&m.Records[i])
-		if s.record.Count() < m.Records[i].Count() { // the sender missed that the body was cleared
+		o := &m.Records[i]
+		s, changed := n.mergeSuspect(&o.Record, time.Duration(o.AgeMillis)*time.Millisecond)
+		if s.record.Count() < o.Count() { // the sender missed that the body was cleared
 			n.sendQuarantineRecords([]string{s.record.BodyHash}, []string{from})
 		}
 		if changed {
@@ -237,6 +243,7 @@
 		n.sendQuarantineRecords(slices.Compact(bodies), n.members.peerNames())
 	}
 	if n.settings.Disabled.QuarantineClaims {
+		n.forgetOldSuspects()
 		n.tickStoredQuarantine()
 		return
 	}
