--- a/core/node/quarantinesync.go
+++ b/core/node/quarantinesync.go
@@ -25,7 +25,7 @@
 	exchangedSuspectAge = time.Minute
 	maxSuspectAge       = 10 * time.Minute
 	maxStoredSuspects   = 256
-	// storePeriod is the minimum time between two writes of the records.
+	// storePeriod is the minimum time between two reads or writes of the records.
 	storePeriod = time.Second
 )
 
@@ -53,16 +53,14 @@
 	return r.Count() >= n.configs.index.Document.Policies.Quarantine.MaxTargets
 }
 
+// exchanged reports whether peers should have a record.
+func (n *Node) exchanged(s *suspect) bool {
+	return s.record.Count() > 0 && (n.givenUp(s.record) || n.now-s.changedAt < exchangedSuspectAge)
+}
+
 // exchangedSuspects returns the bodies whose records peers should have, in order.
 func (n *Node) exchangedSuspects() []string {
-	var bodies []string
-	for _, body := range sortedKeys(n.quarantine.byBody) {
-		s := n.quarantine.byBody[body]
-		if s.record.Count() > 0 && (n.givenUp(s.record) || n.now-s.changedAt < exchangedSuspectAge) {
-			bodies = append(bodies, body)
-		}
-	}
-	return bodies
+	return slices.DeleteFunc(sortedKeys(n.quarantine.byBody), func(body string) bool { return !n.exchanged(n.quarantine.byBody[body]) })
 }
 
 // quarantineDigest identifies the crashes in the records that peers should have.
@@ -73,21 +71,29 @@
 		return 0
 	}
 	digest := uint64(0)
-	for _, body := range n.exchangedSuspects() {
-		for _, c := range n.quarantine.byBody[body].record.Crashes {
-			digest ^= xxhash.Sum64String(body + "\x00" + c.Attempt)
+	for body, s := range n.quarantine.byBody {
+		if !n.exchanged(s) {
+			continue
+		}
+		for _, c := range s.record.Crashes {
+			digest ^= xxhash.Sum64String(body + "\x00" + c.Event())
 		}
 	}
 	return digest
 }
 
 // quarantineDigestReceived sends a peer that knows of other crashes the records
-// that this instance has, and a heartbeat, so that the peer does the same.
+// that this instance has, and a heartbeat, so that the peer does the same. It does
+// so for one peer in a heartbeat period and in turn: while a change spreads, the
+// digests of most peers differ.
 func (n *Node) quarantineDigestReceived(p *peer, digest uint64) {
-	if n.configs.index == nil || !n.settings.Disabled.QuarantineClaims || digest == n.quarantineDigest() || n.now < p.nextQuarantineSync {
+	if n.now < n.quarantine.nextSync || n.now < p.nextQuarantineSync {
 		return
 	}
-	p.nextQuarantineSync = n.now + heartbeatPeriod
+	if n.configs.index == nil || !n.settings.Disabled.QuarantineClaims || digest == n.quarantineDigest() {
+		return
+	}
+	n.quarantine.nextSync, p.nextQuarantineSync = n.now+heartbeatPeriod, n.now+2*heartbeatPeriod
 	if bodies := n.exchangedSuspects(); len(bodies) > 0 {
 		n.sendQuarantineRecords(bodies, []string{p.Name})
 	}
@@ -103,7 +109,6 @@
 	if s.inFlight || n.now < s.next || n.configs.index == nil || !n.members.selfListed || !n.closesGrantsIn(n.ledgers.shards[0]) {
 		return
 	}
-	n.forgetOldSuspects()
 	switch {
 	case !s.read:
 		n.readStoredQuarantine()
@@ -114,6 +119,9 @@
 
 // forgetOldSuspects removes suspects that are not given up and are old.
 func (n *Node) forgetOldSuspects() {
+	if n.configs.index == nil {
+		return
+	}
 	q := &n.quarantine
 	for body, s := range q.byBody {
 		if n.now-s.changedAt < maxSuspectAge || n.givenUp(s.record) {
@@ -140,8 +148,8 @@
 			n.storedQuarantineRead(res.Object)
 		case event.PlatformNotFound:
 			s.read, s.version, s.failures = true, "", 0
-		default:
-			n.storedQuarantineFailed()
+		default: // until it is read, what was known before a loss of all is not
+			s.next = n.now + storePeriod
 		}
 	})
 }
@@ -158,7 +166,7 @@
 	}
 	changed := 0
 	for _, r := range value.Records {
-		if s, isNew := n.mergeSuspect(r); isNew {
+		if s, isNew := n.mergeSuspect(r, 0); isNew {
 			changed++
 			q.unannounced = append(q.unannounced, s.record.BodyHash)
 		}
@@ -222,13 +230,17 @@
 	s.failures++
 }
 
-// mergeSuspect adds what another copy of a record contains and reports whether
-// that was new here.
-func (n *Node) mergeSuspect(o *quarantine.Record) (*suspect, bool) {
+// mergeSuspect adds what another copy of a record contains, which last changed age
+// ago, and reports whether that was new here.
+func (n *Node) mergeSuspect(o *quarantine.Record, age time.Duration) (*suspect, bool) {
+	known := n.quarantine.byBody[o.BodyHash] != nil
 	s, changed := n.quarantine.merge(o)
+	if !known {
+		s.changedAt = n.now - age
+	}
 	if changed {
 		n.quarantine.changes++
-		s.changedAt = n.now
+		s.changedAt = max(s.changedAt, n.now-age)
 	}
 	return s, changed
 }
