Let grants hold less of a budget the more of it losses of instances have taken

Cause: the reserve against outages was sized without regard to what losses had already taken of the budget; each further loss took the same share again. Change: the part that all grants may take is divided by 1 + 300 times the part of the budget that closed grants charge without a report. A budget that lasts for long barely notices; one that repeated losses eat is then granted as requests need it. The runway is the eight seconds of a usual outage and a refill period, 10 instead of 16 s. Why it works: what losses can take in all is bounded by the budget itself, not by their number. Outages before any loss are covered as before.

--- a/core/budget/account.go
+++ b/core/budget/account.go
@@ -54,6 +54,9 @@
 	fleet         steadyRate
 	fleetReported int64
 	fleetSeen     bool
+	// lostShare is the share of the budget's total that closed grants charge
+	// without a report of their holders.
+	lostShare float64
 }
 
 // rate estimates spending in tokens per second as an exponentially weighted
@@ -234,6 +237,9 @@
 		a.Receive(from, b.Grants[from].Sent[self])
 	}
 	a.countFleet(b.SettledTotal() - b.UnreportedTotal())
+	if b.Prepaid > 0 {
+		a.lostShare = float64(b.UnreportedTotal()) / float64(b.Prepaid)
+	}
 	return applied
 }
 
--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -37,6 +37,11 @@
 	// minSharePerMille is the share of a budget, in per mille, that grants may take
 	// even if it is nearly spent, so that not every request waits for the ledger.
 	minSharePerMille = 50
+	// lossWeight weighs the part of a budget that losses of instances have taken:
+	// what grants may take is divided by 1 plus that many times the part. It is
+	// large, so that all losses together take a small part of a budget, however
+	// many they are.
+	lossWeight = 300
 	// unknownPartDivisor divides what may still be granted to get the part of an
 	// on-demand holder while the fleet's spending is not known yet.
 	unknownPartDivisor = 2
@@ -117,7 +122,8 @@
 
 // Spreadable returns the part of a budget that all grants together may take
 // under "spread", in tokens, if unspent tokens of it are left. The rest stays in
-// the ledger for the instances that run after holders have crashed.
+// the ledger for the instances that run after holders have crashed. The more
+// earlier crashes have taken of the budget, the smaller the part is.
 func (a *Account) Spreadable(p config.GrantPolicy, unspent int64) int64 {
 	share := p.MaxSharePerMille
 	if fleet := a.fleet.perSecond; p.FullShareSeconds > 0 && a.fleet.windows >= unevenWindows && fleet > 0 {
@@ -125,7 +131,8 @@
 		share = int64(float64(share) * min(1, lasts/float64(p.FullShareSeconds)))
 		share = max(share, min(minSharePerMille, p.MaxSharePerMille))
 	}
-	return max(0, unspent*share/perMille)
+	part := unspent * share / perMille
+	return max(0, int64(float64(part)/(1+lossWeight*a.lostShare)))
 }
 
 // refillable returns what a grant may take from the ledger while no request
--- a/core/budget/policy_test.go
+++ b/core/budget/policy_test.go
@@ -158,6 +158,12 @@
 			So(a.Spreadable(p, 100), ShouldEqual, 100*minSharePerMille/perMille)
 			So(a.Spreadable(p, -5), ShouldEqual, 0)
 		})
+		Convey("takes a smaller share of a budget of which losses of instances have taken a part", func() {
+			So(a.Spreadable(p, 6000), ShouldEqual, 3600)
+			b.Unreported, b.Settled = b.Prepaid/100, b.Prepaid/100
+			a.Reconcile(b, self)
+			So(a.Spreadable(p, 6000), ShouldEqual, 900)
+		})
 		Convey("leaves its reserve in the ledger", func() {
 			b.Apply(ledger.Operation{Holder: "n2/1", Sequence: 1, Want: 550})
 			step(&a, 0)
--- a/fleet/daemon/hosted_policies.go
+++ b/fleet/daemon/hosted_policies.go
@@ -8,9 +8,9 @@
 
 // Policies of a fleet whose operator sets none.
 const (
-	// grantRunwaySeconds is twice the eight seconds for which instances are
-	// usually cut off from the store.
-	grantRunwaySeconds = 16
+	// grantRunwaySeconds is the eight seconds for which instances are usually cut
+	// off from the store, and the time from one refill to the next.
+	grantRunwaySeconds = 10
 	// grantFloorTokens is the smallest amount that is requested for a grant. It
 	// covers a typical long request.
 	grantFloorTokens = 20_000
