Wait for a new connection to close instead of sleeping before the look at it

Callers saw: nothing. Cause: Refuses slept for 20 ms and then looked whether the connection had been closed; a busy machine took longer to close it. Change: it waits on the connection itself, for up to the same time; tests set a longer one where the connection will be closed, so that their result does not depend on the load.

--- a/fleet/upstream/upstream.go
+++ b/fleet/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -51,6 +52,7 @@
 	// attemptHeader is the header in which targets return the attempt ID.
 	attemptHeader string
 	dialer        net.Dialer
+	settleTime    time.Duration
 	// ConnectionsOpened counts new connections.
 	ConnectionsOpened atomic.Uint64
 
@@ -66,6 +68,7 @@
 	return &Client{
 		attemptHeader: attemptHeader,
 		dialer:        net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: SetSocketOptions},
+		settleTime:    defaultSettleTime,
 		idle:          map[string][]*conn{},
 	}
 }
@@ -160,9 +163,9 @@
 const (
 	// probeTimeout bounds one connection attempt of Refuses.
 	probeTimeout = 250 * time.Millisecond
-	// settleTime is how long a new connection must stay open to show that its
-	// target runs: a process that is ending may still accept one.
-	settleTime = 20 * time.Millisecond
+	// defaultSettleTime is how long a new connection must stay open to show that
+	// its target runs: a process that is ending may still accept one.
+	defaultSettleTime = 20 * time.Millisecond
 )
 
 // Refuses reports whether nothing listens at an address. Neither silence nor a
@@ -177,8 +180,7 @@
 		if err != nil {
 			return errors.Is(err, syscall.ECONNREFUSED)
 		}
-		time.Sleep(settleTime)
-		if isIdle(pc.Conn) {
+		if pc.staysOpen(c.settleTime) {
 			c.putIdle(pc, defaultIdleTimeout)
 			return false
 		}
@@ -187,6 +189,16 @@
 	return false
 }
 
+// staysOpen reports whether nothing arrives on a new connection, not even its
+// end, for a time.
+func (pc *conn) staysOpen(d time.Duration) bool {
+	if err := pc.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return false
+	}
+	_, err := pc.reader.Peek(1)
+	return errors.Is(err, os.ErrDeadlineExceeded) && pc.SetReadDeadline(time.Time{}) == nil
+}
+
 func (c *Client) takeIdle(address string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/fleet/upstream/upstream_test.go
+++ b/fleet/upstream/upstream_test.go
@@ -307,6 +307,7 @@
 			_ = c.(*net.TCPConn).SetLinger(0) // resets the connection
 		})
 		client := NewClient(attemptHeader)
+		client.settleTime = waitLimit
 		So(client.Refuses(context.Background(), address), ShouldBeFalse)
 		So(connections.Load(), ShouldEqual, 2)
 		So(client.idle, ShouldBeEmpty)
@@ -322,6 +323,7 @@
 			}
 		}()
 		client := NewClient(attemptHeader)
+		client.settleTime = waitLimit
 		So(client.Refuses(context.Background(), l.Addr().String()), ShouldBeTrue)
 		So(client.idle, ShouldBeEmpty)
 	})
@@ -331,6 +333,7 @@
 			_, _ = r.ReadByte()
 		})
 		client := NewClient(attemptHeader)
+		client.settleTime = waitLimit
 		So(client.Refuses(context.Background(), address), ShouldBeFalse)
 		So(client.idle, ShouldBeEmpty)
 	})
