Look again at a target that resets a new connection at once

Callers saw: nothing. Cause: a reset that arrives before the dial has ended makes the dial fail with ECONNRESET, which Refuses took for the final answer. The sleep of the earlier code only made that rare. Change: such a dial counts as a connection that was closed at once, so that the target is looked at again.

--- a/fleet/upstream/upstream.go
+++ b/fleet/upstream/upstream.go
@@ -177,7 +177,10 @@
 		dialCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		pc, err := c.dial(dialCtx, address)
 		cancel()
-		if err != nil {
+		switch {
+		case errors.Is(err, syscall.ECONNRESET): // accepted and closed at once
+			continue
+		case err != nil:
 			return errors.Is(err, syscall.ECONNREFUSED)
 		}
 		if pc.staysOpen(c.settleTime) {
