Show that transfers during an outage grow the ledger object

Cause: each transfer between two holders leaves an entry at both of their grants, and an instance that lacks tokens asks up to 16 peers for equal parts of what a request lacks, every 30 ms and budget.

Change: the simulation can cut the platform off and leave the peers; a test bounds the object by what a narrow link carries both ways while a request waits.

--- a/core/node/budget_simulation_test.go
+++ b/core/node/budget_simulation_test.go
@@ -93,9 +93,11 @@
 	conflicts int
 	nodes     []*simulatedNode
 	// cut holds the instances that can reach neither the platform nor peers.
-	cut        map[string]bool
-	generation uint64
-	totals     map[string]int64
+	cut map[string]bool
+	// platformDown cuts all instances off from the platform, but not from peers.
+	platformDown bool
+	generation   uint64
+	totals       map[string]int64
 	// maxTotals holds the largest total that each budget ever had.
 	maxTotals map[string]int64
 	requests  []*simulatedRequest
@@ -261,7 +263,7 @@
 func (s *budgetSimulation) listNow() {
 	entries := s.instanceList()
 	for _, in := range slices.Clone(s.nodes) {
-		if !s.cut[in.name] {
+		if !s.cutFromPlatform(in) {
 			s.step(in, event.Event{InstancesListed: &event.InstancesListed{Instances: entries}})
 		}
 	}
@@ -395,8 +397,13 @@
 // callTimeout is the time after which an instance gives up a platform call.
 const callTimeout = time.Second
 
+// cutFromPlatform reports whether an instance can't reach the platform.
+func (s *budgetSimulation) cutFromPlatform(in *simulatedNode) bool {
+	return s.platformDown || s.cut[in.name]
+}
+
 func (s *budgetSimulation) deliverToPlatform(in *simulatedNode, call event.PlatformCall) {
-	if s.cut[in.name] {
+	if s.cutFromPlatform(in) {
 		r := event.PlatformResult{Call: call.Call, Status: event.PlatformUnknown}
 		if call.Op == event.OpGet {
 			r.Status = event.PlatformUnavailable
@@ -408,7 +415,7 @@
 	}
 	r := s.platformCall(call)
 	s.schedule(s.linkDelay()+s.occupyLink(in, &in.receivesUntil, len(r.Object.Value)), func() {
-		if s.cut[in.name] {
+		if s.cutFromPlatform(in) {
 			r = event.PlatformResult{Call: call.Call, Status: event.PlatformUnknown}
 		}
 		s.step(in, event.Event{PlatformResult: &r})
--- a/core/node/largefleet_test.go
+++ b/core/node/largefleet_test.go
@@ -177,6 +177,56 @@
 	})
 }
 
+const (
+	// platformOutage is how long the platform is away, reportingTime the time in
+	// which the instances then report what they exchanged.
+	platformOutage = 8 * time.Second
+	reportingTime  = 4 * time.Second
+	// maxObjectBytes is the size at which a read and a write of the ledger object
+	// over a narrow link together take as long as a request waits for tokens.
+	maxObjectBytes = int(narrowLink * maxPeerWait / time.Second / 2)
+)
+
+func TestTransfersDuringAnOutageHardlyGrowTheLedger(t *testing.T) {
+	// Guards against an object that takes longer to update than requests wait for tokens.
+	Convey("After instances have exchanged tokens without the platform, a request can wait for an update of the ledger", t, func() {
+		for seed := range uint64(2) {
+			fleet := largeFleet(90)
+			fleet.customers, fleet.requestInterval = 40, stayingInterval
+			s := newBudgetSimulation(seed, spreadPolicy(), fleet)
+			s.runUntil(rampUp + servingTime)
+			before := len(s.store.Value)
+			t.Logf("seed %d: before %v: %s", seed, s.audit(), ledgerSize(s))
+			for range 2 {
+				s.platformDown = true
+				s.runUntil(s.now + platformOutage)
+				s.platformDown = false
+				s.runUntil(s.now + reportingTime)
+				t.Logf("seed %d: after %v: %s", seed, s.audit(), ledgerSize(s))
+			}
+			So(s.audit().Overspent, ShouldEqual, 0)
+			So(before, ShouldBeLessThanOrEqualTo, maxObjectBytes)
+			So(len(s.store.Value), ShouldBeLessThanOrEqualTo, maxObjectBytes)
+		}
+	})
+}
+
+// ledgerSize describes what the ledger object consists of.
+func ledgerSize(s *budgetSimulation) string {
+	shard, err := ledger.Decode(s.store.Value)
+	if err != nil {
+		return err.Error()
+	}
+	grants, received, claimed, sent, ended := 0, 0, 0, 0, 0
+	for _, b := range shard.Budgets {
+		grants += len(b.Grants)
+		for _, g := range b.Grants {
+			received, claimed, sent, ended = received+len(g.Received), claimed+len(g.Claimed), sent+len(g.Sent), ended+len(g.Ended)
+		}
+	}
+	return fmt.Sprintf("%d bytes, %d grants, entries: %d received, %d claimed, %d sent, %d ended", len(s.store.Value), grants, received, claimed, sent, ended)
+}
+
 // BenchmarkLargeFleet measures what the budgets of a fleet without faults cost at
 // several sizes: with and without callers being directed to part of the
 // instances, and with and without combined updates.
