Ask peers for each request that waits for an update, not only for the first

Callers saw: nothing; found by reading again. Cause: a request that became due while another's round was open or had just ended was not asked for until the update of the ledger ended. Change: it starts a round as soon as one may start.

--- a/core/node/ledgerwriter_test.go
+++ b/core/node/ledgerwriter_test.go
@@ -72,6 +72,14 @@
 			So(ok, ShouldBeTrue)
 			So(took, ShouldBeLessThan, 250*time.Millisecond)
 		})
+		Convey("and so is one that comes shortly after another, whose round is then open", func() {
+			first := f.send(f.other, exampleRequest("first", available+50, true))
+			f.runFor(30 * time.Millisecond)
+			took, ok := f.served(f.other, available+20)
+			t.Logf("took %v, served %v, the first %v", took, ok, f.answers[first].complete)
+			So(ok, ShouldBeTrue)
+			So(took, ShouldBeLessThan, 250*time.Millisecond)
+		})
 	})
 }
 
--- a/core/node/transfers.go
+++ b/core/node/transfers.go
@@ -340,10 +340,10 @@
 		if n.peersDue(r) {
 			n.askPeers(r, errkind.BudgetUnavailable)
 		}
-		if r.refusal == errkind.None || n.updateRunsFor(r) {
+		if r.refusal == errkind.None || n.updateRunsFor(r) && r.askedPeers {
 			continue
 		}
-		if n.now >= r.peerDeadline {
+		if n.now >= r.peerDeadline && !n.updateRunsFor(r) {
 			n.handOverOrRefuse(r, n.transfers.rounds[r.Budget])
 			continue
 		}
