Let a request that peers asked to come again do so also while an update runs

Callers saw: nothing. While an update of the ledger ran, a request whose peers had said that they will soon have tokens was kept without asking them again, and refused when the update ended. The test's policies have no bound for the wait, where peers are asked only after an update. Change: such a request asks again, as before; and without a bound for the wait no update is waited for.

--- a/core/node/transfers.go
+++ b/core/node/transfers.go
@@ -288,9 +288,9 @@
 	for _, r := range n.waitingForPeers(budgetName) {
 		switch {
 		case !r.askedPeers:
-		case n.updateRunsFor(r):
 		case retrySoon && r.peerDeadline-n.now > roundPause:
 			r.askedPeers, r.askedLedger = false, false // asks the ledger again too
+		case n.updateRunsFor(r):
 		default:
 			n.handOverOrRefuse(r, rd)
 		}
@@ -298,10 +298,11 @@
 }
 
 // updateRunsFor reports whether an update of the ledger runs that may bring the
-// tokens of a request.
+// tokens of a request. Where the policy doesn't bound the wait for tokens, peers
+// are asked only after an update, so that none is waited for.
 func (n *Node) updateRunsFor(r *request) bool {
 	s := n.ledgers.shardOf(r.Budget)
-	return s.inFlight && s.failures == 0 && !n.waitedTooLong(r)
+	return n.maxWait() > 0 && s.inFlight && s.failures == 0 && !n.waitedTooLong(r)
 }
 
 // peersDue reports whether a request has waited for an update of the ledger for so
