Name the prompt parts of an attempt that ended with its target

Cause: the lines of broken attempts name the body, so no one could tell what the ended targets had in common. The line attempt ended has the parts if the outcome is crashed; no logic changed.

--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -107,10 +108,24 @@
 	end.BytesDelivered = x.relay.started
 	x.log.Info("attempt ended", zap.String("target", d.Target), zap.String("outcome", string(end.Outcome)), zap.Int("status", status),
 		zap.Int64("usage", end.Usage), zap.Int("events", x.relay.events.count), zap.Duration("took", time.Since(began)),
-		zap.Duration("waited", began.Sub(x.arrived)), zap.Duration("first", x.relay.timeToFirst), zap.Duration("pause", x.relay.longestGap), zap.Int64("prompt", x.meta.PromptTokens), zap.Error(err))
+		zap.Duration("waited", began.Sub(x.arrived)), zap.Duration("first", x.relay.timeToFirst), zap.Duration("pause", x.relay.longestGap), zap.Int64("prompt", x.meta.PromptTokens),
+		x.lostParts(end.Outcome), zap.Error(err))
 	return end
 }
 
+// lostParts returns the log field with the prompt parts of an attempt that ended
+// with its target.
+func (x *exchange) lostParts(outcome event.AttemptOutcome) zap.Field {
+	if outcome != event.AttemptCrashed {
+		return zap.Skip()
+	}
+	ids := make([]string, len(x.meta.PromptParts))
+	for i, p := range x.meta.PromptParts {
+		ids[i] = strconv.FormatUint(p.ID, 16)
+	}
+	return zap.Strings("parts", ids)
+}
+
 // reportNotice reports what a target says of itself in the head of a response.
 func (x *exchange) reportNotice(d *event.Dispatch, resp *http.Response) {
 	notice, err := x.server.protocol.ReadNotice(resp)
