--- a/core/node/gossip.go
+++ b/core/node/gossip.go
@@ -1,20 +1,15 @@
 package node
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/gossip"
 )
 
 const (
 	heartbeatPeriod = 500 * time.Millisecond
-	// monitorCount is the number of peers that monitor an instance. It sends
-	// every heartbeat to each of them.
-	monitorCount = 2
 	// randomPeerCount is the number of other peers, drawn anew for each
 	// heartbeat, that get it too.
 	randomPeerCount = 1
@@ -29,11 +24,6 @@
 	burstPeerCount = 4
 	// minBurstPeriod is the minimum time between two such bursts.
 	minBurstPeriod = 50 * time.Millisecond
-	// maxFacts is the maximum number of facts in one heartbeat.
-	maxFacts = 6
-	// factTimeout is the age at which a fact is dropped unless it is confirmed
-	// again.
-	factTimeout = 5 * time.Second
 	// silenceTimeout is the time without a sign of life after which a monitor
 	// reports a peer as silent.
 	silenceTimeout = 5 * heartbeatPeriod
@@ -43,146 +33,58 @@
 // each heartbeat that it is alive.
 const refutePeriod = 10 * time.Second
 
-// factKey identifies a fact. The field incarnation holds the incarnation of the
-// instance or of the target; it is empty for event.FactSilent.
-type factKey struct {
-	kind        event.FactKind
-	name        string
-	incarnation string
-}
-
-// fact is a membership change that is spread by gossip.
-type fact struct {
-	// confirmed is when the change was last observed directly, here or by a peer.
-	confirmed time.Duration
-	// sent counts the heartbeats that carried the fact.
-	sent int
-	// limited and limit are the statement of event.FactLimit.
-	limited bool
-	limit   float64
-}
-
-// recordFact stores a fact that was confirmed at a time. It returns false if a
-// confirmation at that time or later is already known, or if this one is too
-// old.
-func (n *Node) recordFact(k factKey, at time.Duration) bool {
-	if n.now-at >= factTimeout {
-		return false
-	}
-	f := n.members.facts[k]
-	if f == nil {
-		f = &fact{confirmed: at}
-		n.members.facts[k] = f
-		n.members.burstDue = true
-		return true
-	}
-	if at <= f.confirmed {
-		return false
-	}
-	f.confirmed = at
-	return true
+// recordFact stores a fact that was confirmed at a time. It returns nil if a
+// confirmation at that time or later is already known, or if this one is too old.
+func (n *Node) recordFact(k gossip.Key, at time.Duration) *gossip.Fact {
+	f, isNew := n.members.facts.Record(n.now, k, at)
+	n.members.burstDue = n.members.burstDue || isNew
+	return f
 }
 
 // factReceived records and applies a fact from a peer.
 func (n *Node) factReceived(e event.Fact) {
 	at := n.now - time.Duration(e.AgeMillis)*time.Millisecond
-	k := factKey{e.Kind, e.Name, e.Incarnation}
+	k := gossip.Key{Kind: e.Kind, Name: e.Name, Incarnation: e.Incarnation}
 	if e.Kind == event.FactSilent && e.Name == n.settings.Name {
 		n.members.refuteUntil = n.now + refutePeriod
-		n.recordFact(factKey{event.FactAlive, e.Name, n.settings.Incarnation}, n.now)
+		n.recordFact(gossip.Key{Kind: event.FactAlive, Name: e.Name, Incarnation: n.settings.Incarnation}, n.now)
 		return
 	}
-	if !n.recordFact(k, at) {
-		return
+	if f := n.recordFact(k, at); f != nil {
+		f.Limited, f.Limit = e.Limited, e.Limit
+		n.applyFact(k, f)
 	}
-	n.members.facts[k].limited, n.members.facts[k].limit = e.Limited, e.Limit
-	n.applyFact(k, at)
 }
 
-func (n *Node) applyFact(k factKey, at time.Duration) {
-	if k.kind == event.FactLeaving {
-		if t := n.members.targets[k.name]; t != nil && t.incarnation() == k.incarnation {
-			t.markLeaving(at)
+func (n *Node) applyFact(k gossip.Key, f *gossip.Fact) {
+	if t := n.members.targets[k.Name]; t != nil && t.incarnation() == k.Incarnation {
+		switch k.Kind {
+		case event.FactLeaving:
+			t.markLeaving(f.Confirmed)
+		case event.FactLimit:
+			n.setLimit(t, f.Limited, f.Limit, f.Confirmed)
 		}
-		return
 	}
-	if k.kind == event.FactLimit {
-		if t := n.members.targets[k.name]; t != nil && t.incarnation() == k.incarnation {
-			f := n.members.facts[k]
-			n.setLimit(t, f.limited, f.limit, at)
-		}
-		return
-	}
-	p := n.members.peers[k.name]
+	p := n.members.peers[k.Name]
 	if p == nil {
 		return
 	}
-	switch k.kind {
+	switch k.Kind {
 	case event.FactStopping:
-		p.stoppingAt, p.stopping = max(p.stoppingAt, at), true
+		p.stoppingAt, p.stopping = max(p.stoppingAt, f.Confirmed), true
 	case event.FactSilent:
-		p.silentAt = max(p.silentAt, at)
+		p.silentAt = max(p.silentAt, f.Confirmed)
 	case event.FactAlive:
-		p.lastHeard = max(p.lastHeard, at)
+		p.lastHeard = max(p.lastHeard, f.Confirmed)
 	}
 }
 
-// nextFacts selects the facts for the next heartbeat, those sent the fewest
-// times first.
-func (n *Node) nextFacts() []event.Fact {
-	var keys []factKey
-	for k, f := range n.members.facts {
-		if n.now-f.confirmed >= factTimeout {
-			delete(n.members.facts, k)
-			continue
-		}
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, func(a, b factKey) int {
-		fa, fb := n.members.facts[a], n.members.facts[b]
-		return cmp.Or(cmp.Compare(fa.sent, fb.sent), cmp.Compare(a.kind, b.kind), cmp.Compare(a.name, b.name), cmp.Compare(a.incarnation, b.incarnation))
-	})
-	var out []event.Fact
-	for _, k := range keys[:min(len(keys), maxFacts)] {
-		f := n.members.facts[k]
-		f.sent++
-		out = append(out, event.Fact{Kind: k.kind, Name: k.name, Incarnation: k.incarnation, AgeMillis: (n.now - f.confirmed).Milliseconds(), Limited: f.limited, Limit: f.limit})
+// ring returns the ring of all instances.
+func (m *memberState) ring(self string) gossip.Ring {
+	if m.cachedRing == nil {
+		m.cachedRing = gossip.NewRing(append(slices.Clone(m.peerNames()), self)...)
 	}
-	return out
-}
-
-// ring returns all instances, ordered by the hash of their names. An instance's
-// monitors are the next ones in this ring.
-func (m *memberState) ring(self string) []string {
-	if m.ringNames == nil {
-		m.ringNames = append(slices.Clone(m.peerNames()), self)
-		slices.SortFunc(m.ringNames, func(a, b string) int {
-			return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
-		})
-	}
-	return m.ringNames
-}
-
-// monitorsOf returns the names of the instances that monitor an instance.
-func (n *Node) monitorsOf(name string) []string {
-	ring := n.members.ring(n.settings.Name)
-	at := slices.Index(ring, name)
-	var out []string
-	for i := 1; i <= min(monitorCount, len(ring)-1); i++ {
-		out = append(out, ring[(at+i)%len(ring)])
-	}
-	return out
-}
-
-// monitored returns the names of the instances that this one monitors.
-func (n *Node) monitored() []string {
-	ring := n.members.ring(n.settings.Name)
-	at := slices.Index(ring, n.settings.Name)
-	var out []string
-	for i := 1; i <= min(monitorCount, len(ring)-1); i++ {
-		out = append(out, ring[(at-i+len(ring))%len(ring)])
-	}
-	return out
+	return m.cachedRing
 }
 
 func (n *Node) tickMembers() {
@@ -193,7 +95,7 @@
 		}
 		n.members.nextHeartbeat = n.now + heartbeatPeriod
 		n.refreshFacts()
-		n.sendHeartbeat(append(n.monitorsOf(n.settings.Name), n.extraPeers()...))
+		n.sendHeartbeat(append(n.members.ring(n.settings.Name).MonitorsOf(n.settings.Name), n.extraPeers()...))
 	}
 	if n.members.burstDue && n.now >= n.members.nextBurst {
 		n.sendBurst()
@@ -244,10 +146,10 @@
 // reinstates targets that are no longer leaving.
 func (n *Node) refreshFacts() {
 	if n.stopping {
-		n.recordFact(factKey{event.FactStopping, n.settings.Name, n.settings.Incarnation}, n.now)
+		n.recordFact(gossip.Key{Kind: event.FactStopping, Name: n.settings.Name, Incarnation: n.settings.Incarnation}, n.now)
 	}
 	if n.now < n.members.refuteUntil {
-		n.recordFact(factKey{event.FactAlive, n.settings.Name, n.settings.Incarnation}, n.now)
+		n.recordFact(gossip.Key{Kind: event.FactAlive, Name: n.settings.Name, Incarnation: n.settings.Incarnation}, n.now)
 	}
 	for _, name := range n.members.targetNames() {
 		t := n.members.targets[name]
@@ -256,11 +158,11 @@
 		}
 		t.reinstate(n.now)
 	}
-	for _, name := range n.monitored() {
+	for _, name := range n.members.ring(n.settings.Name).MonitoredBy(n.settings.Name) {
 		p := n.members.peers[name]
 		if n.now-max(p.knownSince, p.lastHeard, n.resumedAt) >= silenceTimeout {
 			p.silentAt = n.now
-			n.recordFact(factKey{event.FactSilent, name, ""}, n.now)
+			n.recordFact(gossip.Key{Kind: event.FactSilent, Name: name}, n.now)
 		}
 	}
 }
@@ -275,7 +177,7 @@
 func (n *Node) sendHeartbeat(to []string) {
 	hb := &event.Heartbeat{
 		Generation: n.configs.generation(), Stopping: n.stopping, WantsReply: n.seeking(), Unready: !n.ready(),
-		PeerAddress: n.members.self.PeerAddress, Facts: n.nextFacts(), Suspects: n.quarantineDigest(),
+		PeerAddress: n.members.self.PeerAddress, Facts: n.members.facts.Next(n.now), Suspects: n.quarantineDigest(),
 	}
 	slices.Sort(to)
 	for _, name := range slices.Compact(to) {
@@ -291,7 +193,7 @@
 	p.stopping = hb.Stopping
 	if hb.Stopping {
 		p.stoppingAt = n.now
-		n.recordFact(factKey{event.FactStopping, p.Name, p.incarnation}, n.now)
+		n.recordFact(gossip.Key{Kind: event.FactStopping, Name: p.Name, Incarnation: p.incarnation}, n.now)
 	}
 	for _, f := range hb.Facts {
 		n.factReceived(f)
--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/gossip"
 	"plantainfield.example/core/limit"
 	"plantainfield.example/core/routing"
 )
@@ -73,7 +74,7 @@
 // itself, and records that as a fact for its peers.
 func (n *Node) announceLeaving(t *target) {
 	t.markLeaving(n.now)
-	n.recordFact(factKey{event.FactLeaving, t.Name, t.incarnation()}, n.now)
+	n.recordFact(gossip.Key{Kind: event.FactLeaving, Name: t.Name, Incarnation: t.incarnation()}, n.now)
 }
 
 // targetListed handles a target's entry in the instance list. An entry with
@@ -89,8 +90,9 @@
 		n.members.targets[in.Name] = t
 		n.members.invalidateTargetCaches()
 		for _, kind := range []event.FactKind{event.FactLeaving, event.FactLimit} {
-			if k := (factKey{kind, in.Name, t.incarnation()}); n.members.facts[k] != nil {
-				n.applyFact(k, n.members.facts[k].confirmed)
+			k := gossip.Key{Kind: kind, Name: in.Name, Incarnation: t.incarnation()}
+			if f := n.members.facts[k]; f != nil {
+				n.applyFact(k, f)
 			}
 		}
 	}
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/gossip"
 )
 
 const (
@@ -64,7 +65,7 @@
 	// selfListed is set once an instance list has contained this instance. Before,
 	// the list may lack peers as well.
 	selfListed bool
-	facts      map[factKey]*fact
+	facts      gossip.Facts
 	// burstDue is set if peers should learn of a change before the next
 	// heartbeat.
 	burstDue       bool
@@ -101,9 +102,9 @@
 	// seekOffset selects the peers that an instance that seeks peers contacts
 	// next.
 	seekOffset int
-	// ringNames and sortedPeers cache the results of ring and peerNames. They are
+	// cachedRing and sortedPeers cache the results of ring and peerNames. They are
 	// nil after a change of the peers.
-	ringNames   []string
+	cachedRing  gossip.Ring
 	sortedPeers []string
 	// listedPeers is the number of peers that are listed.
 	listedPeers int64
@@ -114,7 +115,7 @@
 }
 
 func newMemberState() memberState {
-	return memberState{targets: map[string]*target{}, peers: map[string]*peer{}, facts: map[factKey]*fact{}, longPromptAt: map[string]time.Duration{}}
+	return memberState{targets: map[string]*target{}, peers: map[string]*peer{}, facts: gossip.Facts{}, longPromptAt: map[string]time.Duration{}}
 }
 
 func sortedKeys[K ~string, V any](m map[K]V) []K {
@@ -160,7 +161,7 @@
 }
 
 // invalidatePeerCaches clears what is derived from the set of peers.
-func (m *memberState) invalidatePeerCaches() { m.ringNames, m.sortedPeers = nil, nil }
+func (m *memberState) invalidatePeerCaches() { m.cachedRing, m.sortedPeers = nil, nil }
 
 // invalidateTargetCaches clears what is derived from the set of targets.
 func (m *memberState) invalidateTargetCaches() { m.sortedTargets, m.targetsByService = nil, nil }
@@ -233,7 +234,7 @@
 	switch {
 	case !p.listed || p.State == event.StateLeaving:
 		return false
-	case p.stopping && n.now-p.stoppingAt < factTimeout:
+	case p.stopping && n.now-p.stoppingAt < gossip.FactTimeout:
 		return false
 	}
 	return n.reachable(p)
@@ -243,7 +244,7 @@
 // instance has reported it as silent since its last sign of life, and this
 // instance hears from peers.
 func (n *Node) reachable(p *peer) bool {
-	if p.silentAt > p.lastHeard && n.now-p.silentAt < factTimeout {
+	if p.silentAt > p.lastHeard && n.now-p.silentAt < gossip.FactTimeout {
 		return false
 	}
 	return n.now-max(p.knownSince+newPeerGrace-isolationTimeout, n.members.lastHeard, n.resumedAt) < isolationTimeout
--- a/core/node/targetlimits.go
+++ b/core/node/targetlimits.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/gossip"
 	"plantainfield.example/core/targetlimit"
 )
 
@@ -42,9 +43,9 @@
 	changed := n.setLimit(t, e.Limited, e.Limit, n.now)
 	if changed || e.Limited && n.now-t.limit.announced >= limitRepeatPeriod {
 		t.limit.announced = n.now
-		k := factKey{event.FactLimit, t.Name, t.incarnation()}
+		k := gossip.Key{Kind: event.FactLimit, Name: t.Name, Incarnation: t.incarnation()}
 		n.recordFact(k, n.now)
-		n.members.facts[k].limited, n.members.facts[k].limit = e.Limited, e.Limit
+		n.members.facts[k].Limited, n.members.facts[k].Limit = e.Limited, e.Limit
 		n.members.burstDue = n.members.burstDue || changed
 	}
 }
--- a/core/node/targetnotices_test.go
+++ b/core/node/targetnotices_test.go
@@ -8,6 +8,7 @@
 
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/gossip"
 )
 
 // startedAt returns the entry of a target that started at a Unix time in
@@ -47,7 +48,7 @@
 		h.notice("t1", event.TargetNotice{Leaving: true})
 		Convey("it gets no new requests, and peers are told", func() {
 			So(h.sendMany(40)["t1"], ShouldEqual, 0)
-			So(h.node.members.facts, ShouldContainKey, factKey{event.FactLeaving, "t1", "t1:1/100"})
+			So(h.node.members.facts, ShouldContainKey, gossip.Key{Kind: event.FactLeaving, Name: "t1", Incarnation: "t1:1/100"})
 		})
 		Convey("an older entry of the list that shows it as ready changes nothing", func() {
 			h.list(false, startedAt("t1", 100), startedAt("t2", 100))
@@ -57,7 +58,7 @@
 		Convey("neither does an entry of an earlier start, or one that lacks its start", func() {
 			h.list(false, startedAt("t1", 50), startedAt("t2", 100))
 			h.list(false, targetEntry("t1"), startedAt("t2", 100))
-			h.advance(2 * factTimeout)
+			h.advance(2 * gossip.FactTimeout)
 			h.list(false, startedAt("t1", 100), startedAt("t2", 100))
 			So(h.sendMany(40)["t1"], ShouldEqual, 0)
 		})
