Refuse requests with a prompt part that crashes the targets which answer it

Cause: crashes are counted by body, and the cause is a part. Evidence: with the parts in the lines of broken attempts one part is in an attempt without an event at 31 of 31 and 68 of 68 ends; its bodies are counted once each.

Change: core/partquarantine records the parts of attempts that were lost before their answer began. An answer that begins clears its parts, which tells the cause from the popular parts beside it; three crashes in succession, each of an attempt sent after the crash before, block a part, so that targets which end together count once; a crash that a blocked part explains does not count against others. Records travel with those of bodies: to peers at once, by digest, to the platform. Requests with a blocked part are refused before they are sent, as prompt_part_quarantined, 502 on the platform. An answer begins with its first complete event, no longer with its first bytes.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -101,12 +101,18 @@
 	HandedOver bool `json:"handedOver,omitempty"`
 }
 
+// SharedParts returns the parts that other prompts may share: the last one belongs
+// to the request itself or to its session.
+func (r *RequestArrived) SharedParts() []placement.Part {
+	return r.Parts[:max(0, len(r.Parts)-1)]
+}
+
 // CallerGone reports that the caller of a request closed its connection.
 type CallerGone struct {
 	Request uint64 `json:"request"`
 }
 
-// FirstToken reports the first output frame of an attempt.
+// FirstToken reports the first complete output frame of an attempt.
 type FirstToken struct {
 	Attempt string `json:"attempt"`
 }
--- a/core/node/billbackups.go
+++ b/core/node/billbackups.go
@@ -330,7 +330,7 @@
 // ends of the bill logs, so that it need not wait for the platform.
 func (n *Node) sendStartupState(p *peer) {
 	if n.quarantine.loaded {
-		n.sendQuarantineRecords(sortedKeys(n.quarantine.byBody), []string{p.Name})
+		n.sendQuarantineRecords(sortedKeys(n.quarantine.byBody), n.quarantine.parts.Records(n.now), []string{p.Name})
 	}
 	var heads []uint64
 	for _, l := range n.bills.logs {
--- a/core/node/quarantine.go
+++ b/core/node/quarantine.go
@@ -8,6 +8,7 @@
 	"plantainfield.example/core/bill"
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/partquarantine"
 	"plantainfield.example/core/quarantine"
 )
 
@@ -86,10 +87,14 @@
 	// unannounced are the bodies whose records are sent to peers at the next
 	// tick.
 	unannounced []string
+	// parts holds the prompt parts that are suspected of crashing targets.
+	parts *partquarantine.Table
+	// partChanges is the number of the changes of parts that have been logged.
+	partChanges uint64
 }
 
 func newQuarantineState() quarantineState {
-	return quarantineState{byBody: map[string]*suspect{}, byKey: map[bill.RequestID]*suspect{}}
+	return quarantineState{byBody: map[string]*suspect{}, byKey: map[bill.RequestID]*suspect{}, parts: partquarantine.NewTable()}
 }
 
 // find returns the record of the request's body or key, or nil.
@@ -115,18 +120,24 @@
 	return s, changed
 }
 
-// quarantined reports whether the request must not be run again.
-func (n *Node) quarantined(r *request) bool {
-	s := n.quarantine.find(r)
-	return s != nil && n.givenUp(s.record)
+// quarantined returns the error kind of a request that must not be run, or
+// errkind.None.
+func (n *Node) quarantined(r *request) errkind.Kind {
+	if s := n.quarantine.find(r); s != nil && n.givenUp(s.record) {
+		return errkind.Quarantined
+	}
+	if n.quarantine.parts.Blocks(r.Serves, r.SharedParts()) {
+		return errkind.PartQuarantined
+	}
+	return errkind.None
 }
 
 // admitAttempt reports whether an attempt may start now. If not, it has refused
 // the request or has started to acquire what a suspect needs: first the claim
 // on its body, then the target's trial.
 func (n *Node) admitAttempt(r *request, t *target) bool {
-	if n.quarantined(r) {
-		n.finishRefused(r, errkind.Quarantined)
+	if kind := n.quarantined(r); kind != errkind.None {
+		n.finishRefused(r, kind)
 		return false
 	}
 	if n.settings.Disabled.QuarantineClaims {
@@ -156,6 +167,7 @@
 	case e.Outcome == event.AttemptCrashed:
 		n.recordCrash(r, e.Attempt)
 	case e.Outcome == event.AttemptCompleted && !e.TargetError:
+		n.quarantine.parts.RecordAnswer(n.now, r.Serves, r.SharedParts())
 		if s := n.quarantine.find(r); s != nil && s.record.Count() > 0 {
 			n.logChange("crashes cleared", "body", quarantine.ShortID(s.record.BodyHash), "request", r.Key, "target", r.targetName, "crashes", s.record.Count())
 			s.record.ClearCrashes()
@@ -173,11 +185,14 @@
 	if s := n.quarantine.find(r); s != nil {
 		body = s.record.BodyHash
 	}
-	s, _ := n.quarantine.merge(&quarantine.Record{
-		BodyHash: body, Requests: []bill.RequestID{r.id}, Crashes: []quarantine.Crash{{Attempt: attempt, Target: r.targetName, Start: r.target.StartMillis}},
-	})
+	crash := quarantine.Crash{Attempt: attempt, Target: r.targetName, Start: r.target.StartMillis}
+	s, _ := n.quarantine.merge(&quarantine.Record{BodyHash: body, Requests: []bill.RequestID{r.id}, Crashes: []quarantine.Crash{crash}})
 	n.logChange("crash counted", "body", quarantine.ShortID(body), "request", r.Key, "target", r.targetName, "crashes", s.record.Count())
 	n.suspectChanged(s)
+	if !r.firstTokenSeen {
+		lost := partquarantine.Attempt{Serves: r.Serves, Parts: r.SharedParts(), Crash: crash.Event(), Sent: r.dispatched}
+		n.quarantine.parts.RecordCrash(n.now, lost)
+	}
 }
 
 // suspectChanged writes a record that has changed and sends it to peers:
@@ -188,7 +203,7 @@
 	s.changedAt = n.now
 	n.quarantine.changes++
 	if len(n.quarantine.unannounced) == 0 {
-		n.sendQuarantineRecords([]string{s.record.BodyHash}, n.members.peerNames())
+		n.sendQuarantineRecords([]string{s.record.BodyHash}, nil, n.members.peerNames())
 	}
 	n.quarantine.unannounced = append(n.quarantine.unannounced, s.record.BodyHash)
 	n.startSuspectUpdate(s)
@@ -208,8 +223,8 @@
 	n.startSuspectUpdate(s)
 }
 
-func (n *Node) sendQuarantineRecords(bodies, peers []string) {
-	m := &event.QuarantineRecords{}
+func (n *Node) sendQuarantineRecords(bodies []string, parts []partquarantine.Record, peers []string) {
+	m := &event.QuarantineRecords{Parts: parts}
 	for _, body := range bodies {
 		s := n.quarantine.byBody[body]
 		record := s.record.Clone()
@@ -224,11 +239,12 @@
 // quarantineRecordsReceived merges the records that a peer sent.
 func (n *Node) quarantineRecordsReceived(from string, m *event.QuarantineRecords) {
 	n.quarantine.loaded = true
+	n.quarantine.parts.Merge(n.now, m.Parts)
 	for i := range m.Records {
 		o := &m.Records[i]
 		s, changed := n.mergeSuspect(&o.Record, time.Duration(o.AgeMillis)*time.Millisecond)
 		if s.record.Count() < o.Count() { // the sender missed that the body was cleared
-			n.sendQuarantineRecords([]string{s.record.BodyHash}, []string{from})
+			n.sendQuarantineRecords([]string{s.record.BodyHash}, nil, []string{from})
 		}
 		if changed {
 			n.logChange("quarantine record received", "peer", from, "body", quarantine.ShortID(s.record.BodyHash), "crashes", s.record.Count())
@@ -237,10 +253,16 @@
 }
 
 func (n *Node) tickQuarantine() {
-	if bodies := n.quarantine.unannounced; len(bodies) > 0 {
+	bodies, parts := n.quarantine.unannounced, n.quarantine.parts.TakeUnannounced(n.now)
+	if len(bodies)+len(parts) > 0 {
 		n.quarantine.unannounced = nil
 		slices.Sort(bodies)
-		n.sendQuarantineRecords(slices.Compact(bodies), n.members.peerNames())
+		n.sendQuarantineRecords(slices.Compact(bodies), parts, n.members.peerNames())
+	}
+	n.quarantine.parts.Forget(n.now)
+	if changes := n.quarantine.parts.Changes(); changes != n.quarantine.partChanges {
+		n.quarantine.partChanges = changes
+		n.logChange("blocked parts changed", "parts", n.quarantine.parts.BlockedNames())
 	}
 	if n.settings.Disabled.QuarantineClaims {
 		n.forgetOldSuspects()
--- a/core/node/quarantinesync.go
+++ b/core/node/quarantinesync.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/partquarantine"
 	"plantainfield.example/core/quarantine"
 )
 
@@ -52,6 +53,8 @@
 // quarantineObject is the value of the object that holds the records.
 type quarantineObject struct {
 	Records []*quarantine.Record `json:"records"`
+	// Parts are the blocked parts.
+	Parts []partquarantine.Record `json:"parts,omitempty"`
 }
 
 // givenUp reports whether a body must not be run again.
@@ -76,7 +79,7 @@
 	if n.configs.index == nil || !n.settings.Disabled.QuarantineClaims {
 		return 0
 	}
-	digest := uint64(0)
+	digest := n.quarantine.parts.Digest()
 	for body, s := range n.quarantine.byBody {
 		if !n.exchanged(s) {
 			continue
@@ -100,8 +103,9 @@
 		return
 	}
 	n.quarantine.nextSync, p.nextQuarantineSync = n.now+heartbeatPeriod, n.now+2*heartbeatPeriod
-	if bodies := n.exchangedSuspects(); len(bodies) > 0 {
-		n.sendQuarantineRecords(bodies, []string{p.Name})
+	bodies, parts := n.exchangedSuspects(), n.quarantine.parts.Records(n.now)
+	if len(bodies)+len(parts) > 0 {
+		n.sendQuarantineRecords(bodies, parts, []string{p.Name})
 	}
 	n.answerHeartbeat(p)
 }
@@ -118,14 +122,14 @@
 	switch {
 	case !s.read:
 		n.readStoredQuarantine()
-	case q.changes > s.written && (n.now >= s.nextWrite || n.givenUpCount() > s.givenUp):
+	case q.changes+q.parts.Changes() > s.written && (n.now >= s.nextWrite || n.givenUpCount() > s.givenUp):
 		n.writeStoredQuarantine()
 	}
 }
 
-// givenUpCount returns the number of the bodies that are given up.
+// givenUpCount returns the number of the bodies and parts that are given up.
 func (n *Node) givenUpCount() int {
-	count := 0
+	count := n.quarantine.parts.BlockedCount()
 	for _, s := range n.quarantine.byBody {
 		if n.givenUp(s.record) {
 			count++
@@ -181,6 +185,7 @@
 		n.logChange("stored quarantine ignored", "version", o.Version, "error", fmt.Sprint(err))
 		return
 	}
+	q.parts.Merge(n.now, value.Parts)
 	changed := 0
 	for _, r := range value.Records {
 		if s, isNew := n.mergeSuspect(r, 0); isNew {
@@ -193,8 +198,8 @@
 
 func (n *Node) writeStoredQuarantine() {
 	q := &n.quarantine
-	changes, givenUp := q.changes, n.givenUpCount()
-	raw, err := json.Marshal(quarantineObject{Records: n.storedSuspects()})
+	changes, givenUp := q.changes+q.parts.Changes(), n.givenUpCount()
+	raw, err := json.Marshal(quarantineObject{Records: n.storedSuspects(), Parts: q.parts.Blocked(n.now)})
 	if err != nil {
 		n.logChange("quarantine not stored", "error", err.Error())
 		n.storedQuarantineFailed()
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -161,8 +161,8 @@
 		}
 		return errkind.InProgress
 	}
-	if n.quarantined(r) {
-		return errkind.Quarantined
+	if kind := n.quarantined(r); kind != errkind.None {
+		return kind
 	}
 	if n.billedForOtherBody(r) {
 		return errkind.KeyReused
@@ -263,6 +263,7 @@
 		r.mayHaveRun, r.firstTokenSeen = true, true
 		r.target.endPrefill(r)
 		n.sampleFirstToken(r)
+		n.quarantine.parts.RecordAnswer(n.now, r.Serves, r.SharedParts())
 	}
 }
 
@@ -345,8 +346,8 @@
 		n.finishRefused(r, errkind.CallerGone)
 		return
 	}
-	if n.quarantined(r) {
-		n.finishRefused(r, errkind.Quarantined)
+	if kind := n.quarantined(r); kind != errkind.None {
+		n.finishRefused(r, kind)
 		return
 	}
 	if !allowed || !n.chargeAttempt(r) {
--- a/core/node/status.go
+++ b/core/node/status.go
@@ -5,6 +5,7 @@
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/ledger"
+	"plantainfield.example/core/partquarantine"
 )
 
 // statusRequested reads the ledger and reports the fleet as this instance knows it.
@@ -99,6 +100,10 @@
 	PendingBills int           `json:"pendingBills"`
 	PendingBegun int           `json:"pendingBegunRecords"`
 	OpenCalls    int           `json:"openPlatformCalls"`
+	// SuspectParts are the prompt parts that were present at crashes of targets;
+	// BlockedParts names those that are refused.
+	SuspectParts []partquarantine.Record `json:"suspectParts,omitempty"`
+	BlockedParts string                  `json:"blockedParts,omitempty"`
 }
 
 // RequestView is one open request in a dump.
@@ -127,6 +132,7 @@
 	d := Dump{
 		Settings: n.settings, Ready: n.ready(), Status: n.status(budgets), Accounts: n.book.Views(),
 		PendingBills: len(n.bills.held.order), PendingBegun: n.begun.pending(), OpenCalls: len(n.openCalls),
+		SuspectParts: n.quarantine.parts.Records(n.now), BlockedParts: n.quarantine.parts.BlockedNames(),
 	}
 	for _, r := range n.requests.order {
 		d.Requests = append(d.Requests, RequestView{r.Request, r.Customer, r.Budget, phaseNames[r.phase], r.attempts, r.targetName, r.reserved})
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -296,12 +296,13 @@
 	x.relay.events.partial = nil // drop the partial event of an earlier attempt
 	for first := true; ; {
 		n, err := resp.Body.Read(buffer)
-		if n > 0 && first {
-			first = false
-			x.server.loop.Post(event.Event{FirstToken: &event.FirstToken{Attempt: attempt}})
-		}
 		if n > 0 {
-			if werr := x.relayChunk(resp, buffer[:n]); werr != nil {
+			events, werr := x.relayChunk(resp, buffer[:n])
+			if events && first {
+				first = false
+				x.server.loop.Post(event.Event{FirstToken: &event.FirstToken{Attempt: attempt}})
+			}
+			if werr != nil {
 				return werr
 			}
 		}
@@ -314,8 +315,9 @@
 	}
 }
 
-// relayChunk relays the complete events of a stream after a chunk has arrived.
-func (x *exchange) relayChunk(resp *http.Response, chunk []byte) error {
+// relayChunk relays the complete events of a stream after a chunk has arrived, and
+// reports whether there were any.
+func (x *exchange) relayChunk(resp *http.Response, chunk []byte) (bool, error) {
 	if !x.relay.started {
 		x.server.metrics.observeFirstEvent(x.route, x.arrived)
 		x.beginStream(resp)
@@ -323,15 +325,15 @@
 	x.relay.recordChunk(x.arrived)
 	complete := x.relay.events.add(chunk)
 	if len(x.relay.events.partial) > maxEventBytes {
-		return errEventTooLong
+		return false, errEventTooLong
 	}
 	if len(complete) == 0 {
-		return nil
+		return false, nil
 	}
 	if _, err := x.w.Write(complete); err != nil {
-		return err
+		return true, err
 	}
-	return http.NewResponseController(x.w).Flush()
+	return true, http.NewResponseController(x.w).Flush()
 }
 
 func (x *exchange) beginStream(resp *http.Response) {
