Take answers that end early without framing for broken off

Callers saw: an answer with neither a length nor chunks whose target ended passed for complete, and the beginning of an event was sent as the end of a stream, on any framing.

Cause: the end of such a body is the end of the connection, which reads as io.EOF; at the end of a stream the gateway sent what was left of an event.

Change: at the end of an unframed body the target is looked at, as after a lost connection; if it has ended, the attempt counts as crashed. A stream that ends inside an event is an error. Both then take the path of broken answers: resumed or cut.

--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -97,10 +97,17 @@
 		status = resp.StatusCode
 		x.reportNotice(d, resp)
 		body := &trackedBody{ReadCloser: resp.Body}
+		if isUnframed(resp) {
+			body.targetEnded = func() bool { return x.targetEnded(ctx, d.Address) }
+		}
 		resp.Body = body
 		x.handleResponse(ctx, resp, &end)
 		_ = body.Close()
-		if end.Outcome == event.AttemptFailed && body.err != nil {
+		switch {
+		case end.Outcome != event.AttemptFailed || body.err == nil:
+		case errors.Is(body.err, errTargetEnded):
+			end.Outcome = event.AttemptCrashed
+		default:
 			end.Outcome = x.classifyLostConnection(ctx, d.Address)
 		}
 	}
@@ -180,14 +187,29 @@
 	return x.meta.LastEventID
 }
 
+// isUnframed reports whether only the end of the connection ends a response.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// errTargetEnded reports that a response without framing ended because its target
+// did.
+var errTargetEnded = errors.New("the target ended during an answer without length or chunks")
+
 // trackedBody keeps the error that ended the reading of a body before its end.
 type trackedBody struct {
 	io.ReadCloser
-	err error
+	// targetEnded, if set, is called at the end of the connection: the body is only
+	// complete if the target has not ended.
+	targetEnded func() bool
+	err         error
 }
 
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.targetEnded != nil && b.targetEnded() {
+		err = errTargetEnded
+	}
 	if err != nil && err != io.EOF {
 		b.err = err
 	}
@@ -198,12 +220,16 @@
 // lost, before or after the head of the response: a target that has ended
 // refuses a new connection, one that only broke off the response accepts it.
 func (x *exchange) classifyLostConnection(ctx context.Context, address string) event.AttemptOutcome {
-	if x.server.targets.Refuses(context.WithoutCancel(ctx), address) {
+	if x.targetEnded(ctx, address) {
 		return event.AttemptCrashed
 	}
 	return event.AttemptFailed
 }
 
+func (x *exchange) targetEnded(ctx context.Context, address string) bool {
+	return x.server.targets.Refuses(context.WithoutCancel(ctx), address)
+}
+
 // classifyError returns the outcome of an attempt that got no response.
 func (x *exchange) classifyError(ctx context.Context, address string, err error) event.AttemptOutcome {
 	switch {
@@ -266,6 +292,9 @@
 // maxEventBytes.
 var errEventTooLong = errors.New("an event of the stream is too long")
 
+// errInsideEvent reports that a stream ended inside an event.
+var errInsideEvent = errors.New("the stream ended inside an event")
+
 // errNotResumed reports that a target did not resume a stream.
 var errNotResumed = errors.New("the target did not resume the stream")
 
@@ -342,9 +371,12 @@
 	x.w.WriteHeader(resp.StatusCode)
 }
 
-// endStream ends a stream that the target has completed. It sends the data that
-// is still buffered, and only the header if the stream was empty.
+// endStream ends a stream after its last event. If it was empty, it sends only the
+// header.
 func (x *exchange) endStream(resp *http.Response) error {
+	if len(bytes.TrimSpace(x.relay.events.partial)) > 0 {
+		return errInsideEvent
+	}
 	if !x.relay.started {
 		x.beginStream(resp)
 	}
