Name versions and resumed attempts in the lines of attempts

Cause: the lines could not tell streams that an instance takes up itself from those that callers take up, nor at which version they go on. Entries' version is read, and the line attempt ended has it, the attempt that is resumed and the event after which; no decision uses them.

--- a/core/event/action.go
+++ b/core/event/action.go
@@ -53,6 +53,8 @@
 	// Target is the name of the target, Address its IP:port.
 	Target  string `json:"target"`
 	Address string `json:"address"`
+	// Version is the version of the target's software.
+	Version string `json:"version,omitempty"`
 	// MaxTokens limits what the attempt may consume, in tokens.
 	MaxTokens int64 `json:"maxTokens"`
 	// ReportNotice asks for a TargetNotice also if the response says nothing of the
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -308,6 +308,9 @@
 	// it distinguishes two targets that ran under one name one after the other.
 	// 0 if unknown.
 	StartMillis int64 `json:"born,omitempty"`
+	// Version is the version of a target's software, or empty. Versions have no
+	// order.
+	Version string `json:"version,omitempty"`
 }
 
 // InstancesListed reports the complete instance list, which may lag.
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -254,7 +254,7 @@
 	t.prefixes.RecordUse(r.PrefixHashes, n.now)
 	n.emit(event.Action{Dispatch: &event.Dispatch{
 		Request: r.Request, Attempt: r.attempt, Stream: r.id.Digest(),
-		Target: t.Name, Address: t.Address, MaxTokens: r.reserved, ReportNotice: t.limit.known,
+		Target: t.Name, Address: t.Address, Version: t.Version, MaxTokens: r.reserved, ReportNotice: t.limit.known,
 	}})
 }
 
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -87,7 +87,7 @@
 		end.Outcome, end.Unsent = event.AttemptNotStarted, true
 		return end
 	}
-	began := time.Now()
+	began, after := time.Now(), x.lastEventID()
 	resp, err := x.server.targets.Do(ctx, d.Address, x.targetRequest(ctx, d), x.body)
 	status := 0
 	if err != nil {
@@ -116,7 +116,7 @@
 	x.log.Info("attempt ended", zap.String("target", d.Target), zap.String("outcome", string(end.Outcome)), zap.Int("status", status),
 		zap.Int64("usage", end.Usage), zap.Int("events", x.relay.events.count), zap.Duration("took", time.Since(began)),
 		zap.Duration("waited", began.Sub(x.arrived)), zap.Duration("first", x.relay.timeToFirst), zap.Duration("pause", x.relay.longestGap), zap.Int64("prompt", x.meta.PromptTokens),
-		x.lostParts(end.Outcome), zap.Error(err))
+		zap.String("version", d.Version), zap.String("resumes", x.meta.Resumes), zap.String("after_event", after), x.lostParts(end.Outcome), zap.Error(err))
 	return end
 }
 
--- a/fleet/gateway/protocol.go
+++ b/fleet/gateway/protocol.go
@@ -28,6 +28,9 @@
 	// LastEventID is the ID of the last event that the caller received from an
 	// earlier stream, or empty.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of the
+	// stream that this request resumes, or empty.
+	Resumes string
 }
 
 // PromptPart is one part of a prompt.
