Show that streams go on at another software version of their targets

A simulation of targets of two versions, of which three end and three of eight instances are killed at a time, with callers who take their streams up at any instance. The arrival of a request says whether it resumes a stream and which request began it; nothing uses it yet.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -83,6 +83,11 @@
 	Idempotent bool `json:"idempotent"`
 	// Resumable is set for a stream that another target can resume.
 	Resumable bool `json:"resumable,omitempty"`
+	// Resumed is set if the request goes on with a stream whose first events the
+	// caller has; Resumes is the key of the request that brought the first one, if
+	// the caller names it.
+	Resumed bool   `json:"resumed,omitempty"`
+	Resumes string `json:"resumes,omitempty"`
 	// WorstCaseTokens is the maximum that one attempt can consume, in tokens.
 	WorstCaseTokens int64 `json:"worstCaseTokens"`
 	// PrefixHashes identify prefixes of the prompt, shortest first.
--- a/core/node/crashingbody_test.go
+++ b/core/node/crashingbody_test.go
@@ -67,6 +67,8 @@
 	sendsHead bool
 	// plainAnswers is set if other answers have no head before they are complete.
 	plainAnswers bool
+	// versions are those of the software of targets, in turn.
+	versions []string
 	// disturbed is when each instance was last cut off, connected or started.
 	disturbed map[string]time.Duration
 	// crashed counts the targets that ended under crashingBody; thirdAt is when the
@@ -103,6 +105,9 @@
 	s.byName[t.name] = t
 	e := targetEntry(t.name)
 	e.StartMillis = int64(len(s.byName))
+	if len(s.versions) > 0 {
+		e.Version = s.versions[len(s.byName)%len(s.versions)]
+	}
 	s.targets = append(s.targets, e)
 }
 
--- /dev/null
+++ b/core/node/streamversion_test.go
@@ -0,0 +1,185 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"plantainfield.example/core/errkind"
+	"plantainfield.example/core/event"
+)
+
+const (
+	// streamTime is how long a stream takes from its first event on.
+	streamTime = 2 * time.Second
+	// maxTakeUps is how often a caller takes up a stream that was broken off.
+	maxTakeUps = 2
+	// takeUpDelay bounds the time after which it does so.
+	takeUpDelay = 150 * time.Millisecond
+	// watchPeriod is the time between two looks of a caller at its request.
+	watchPeriod = 20 * time.Millisecond
+)
+
+// simulatedStream is a stream over all tries of its caller.
+type simulatedStream struct {
+	// first is the key of the request that brought the first event, and version that
+	// of the target which sent it.
+	first, version string
+	// mixed is set once a target of another version has sent an event.
+	mixed bool
+	// takeUps counts the requests that resumed the stream, wentOn those of them that
+	// brought an event.
+	takeUps, wentOn int
+	// lastWentOn is the last request that counts in wentOn.
+	lastWentOn uint64
+}
+
+// streamSimulation is a fleet of targets of two versions, with streams that callers
+// take up again.
+type streamSimulation struct {
+	*bodySimulation
+	streams   []*simulatedStream
+	byRequest map[uint64]*simulatedStream
+}
+
+func newStreamSimulation(seed uint64) *streamSimulation {
+	s := &streamSimulation{bodySimulation: newBodySimulation(seed, true), byRequest: map[uint64]*simulatedStream{}}
+	s.versions = []string{"v1", "v1.1"}
+	for i := range s.targets {
+		s.targets[i].Version = s.versions[i%len(s.versions)]
+	}
+	s.budgetSimulation.runAttempt = s.run
+	return s
+}
+
+// run runs an attempt at its target, if that has not ended.
+func (s *streamSimulation) run(in *simulatedNode, a event.Dispatch, r *simulatedRequest) {
+	t, stream := s.byName[a.Target], s.byRequest[a.Request]
+	version := a.Version
+	s.schedule(s.linkDelay(), func() {
+		if t.ended {
+			s.step(in, event.Event{AttemptEnded: &event.AttemptEnded{Attempt: a.Attempt, Outcome: event.AttemptNotStarted, Unsent: true, UsageKnown: true}})
+			return
+		}
+		x := &runningAttempt{in: in, attempt: a.Attempt, request: a.Request, r: r}
+		x.eventsAt = s.now + time.Duration(s.rng.Int64N(int64(maxHeadDelay))) + firstEventDelay
+		t.running = append(t.running, x)
+		if stream != nil {
+			s.schedule(x.eventsAt-s.now, func() { s.sendEvent(x, stream, version) })
+		}
+		s.schedule(x.eventsAt-s.now+streamTime, func() { s.complete(t, x) })
+	})
+}
+
+func (s *streamSimulation) sendEvent(x *runningAttempt, stream *simulatedStream, version string) {
+	if x.over || x.in.dead {
+		return
+	}
+	if stream.first == "" {
+		stream.first, stream.version = fmt.Sprint(x.request), version
+	}
+	stream.mixed = stream.mixed || stream.version != version
+	if stream.first != fmt.Sprint(x.request) && stream.lastWentOn != x.request {
+		stream.lastWentOn = x.request
+		stream.wentOn++
+	}
+	s.step(x.in, event.Event{FirstToken: &event.FirstToken{Attempt: x.attempt}})
+}
+
+// sendStream begins a stream, or takes it up, at a random instance that runs.
+func (s *streamSimulation) sendStream(stream *simulatedStream) {
+	in := s.nodes[s.rng.IntN(len(s.nodes))]
+	for in.dead {
+		in = s.nodes[s.rng.IntN(len(s.nodes))]
+	}
+	s.handle++
+	r := &simulatedRequest{budget: customerName(0), arrived: s.now, duration: streamTime}
+	s.byRequest[s.handle] = stream
+	in.open[s.handle] = r
+	arrival := event.RequestArrived{
+		Request: s.handle, Customer: customerName(0), Key: fmt.Sprint(s.handle), BodyHash: fmt.Sprint(s.handle), Serves: "app",
+		Resumable: true, Idempotent: true, MaxAttempts: 2, HandedOver: true, Deadline: 10 * time.Second,
+	}
+	if stream.first != "" {
+		arrival.Resumed, arrival.Resumes = true, stream.first
+		stream.takeUps++
+	}
+	s.step(in, event.Event{RequestArrived: &arrival})
+	s.watch(in, r, stream)
+}
+
+// watch has the caller take up its stream if the request fails or its instance is
+// lost.
+func (s *streamSimulation) watch(in *simulatedNode, r *simulatedRequest, stream *simulatedStream) {
+	s.schedule(watchPeriod, func() {
+		switch {
+		case !r.done && !in.dead:
+			s.watch(in, r, stream)
+		case stream.takeUps < maxTakeUps && (in.dead || r.refused != errkind.None):
+			s.schedule(time.Duration(s.rng.Int64N(int64(takeUpDelay))), func() { s.sendStream(stream) })
+		}
+	})
+}
+
+func (s *streamSimulation) repeatStreams(mean time.Duration) {
+	s.schedule(time.Duration(s.rng.ExpFloat64()*float64(mean)), func() {
+		stream := &simulatedStream{}
+		s.streams = append(s.streams, stream)
+		s.sendStream(stream)
+		s.repeatStreams(mean)
+	})
+}
+
+// killSome kills some instances and ends some targets at nearly the same moment.
+func (s *streamSimulation) killSome(instances, targets int) {
+	for _, e := range slices.Clone(s.targets) {
+		if t := s.byName[e.Name]; !t.ended && targets > 0 {
+			targets--
+			s.endTarget(t)
+		}
+	}
+	s.schedule(50*time.Millisecond, func() {
+		for _, i := range s.rng.Perm(len(s.nodes))[:instances] {
+			if !s.nodes[i].dead {
+				s.kill(s.nodes[i], time.Second)
+			}
+		}
+	})
+}
+
+// checkStreams checks that no stream changed the version and that most of those
+// that callers took up went on.
+func (s *streamSimulation) checkStreams(t *testing.T, what string) {
+	mixed, takeUps, wentOn := 0, 0, 0
+	for _, stream := range s.streams {
+		if stream.mixed {
+			mixed++
+		}
+		takeUps += stream.takeUps
+		wentOn += stream.wentOn
+	}
+	t.Logf("%s: %d streams, %d of two versions; %d taken up, %d went on", what, len(s.streams), mixed, takeUps, wentOn)
+	So(mixed, ShouldEqual, 0)
+	So(takeUps, ShouldBeGreaterThan, 0)
+	So(2*wentOn, ShouldBeGreaterThan, takeUps)
+}
+
+func TestStreamsGoOnOnlyAtTheVersionThatBeganThem(t *testing.T) {
+	// Guards against streams that hold events of targets with different software.
+	Convey("While targets of two versions end and instances are killed, each stream goes on at the version that began it, and most do", t, func() {
+		for seed := range uint64(4) {
+			s := newStreamSimulation(seed)
+			s.runUntil(rampUp)
+			s.repeatStreams(10 * time.Millisecond)
+			for range 6 {
+				s.runUntil(s.now + 4*time.Second)
+				s.killSome(3, 3)
+			}
+			s.runUntil(s.now + 4*time.Second)
+			s.checkStreams(t, fmt.Sprintf("seed %d", seed))
+		}
+	})
+}
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -162,6 +162,9 @@
 		Idempotent: x.route.Repeatable(), Resumable: x.route.Resumable, Priority: -int(x.priority()), Deadline: x.timeout(),
 		MaxAttempts: int(x.route.MaxAttempts), HandedOver: true,
 	}
+	if x.route.Resumable && x.meta.LastEventID != "" {
+		a.Resumed, a.Resumes = true, x.meta.Resumes
+	}
 	if x.worstCaseTokens() > 0 {
 		a.Kind = event.KindModel
 		a.Budget, a.WorstCaseTokens = x.owner.Budget, x.worstCaseTokens()
