Move the measure of the fleet's demand into core/serving

The rate of arrivals and the demand that falls slowly are pure. No change of behaviour; the tests of serving instances and of addresses pass unchanged.

--- a/core/node/loads.go
+++ b/core/node/loads.go
@@ -77,7 +77,7 @@
 
 // loadMessages splits this instance's work at targets into messages.
 func (n *Node) loadMessages(targets []event.TargetLoad) []*event.Loads {
-	requests := n.members.demand.own.at(n.now)
+	requests := n.members.arrivals.At(n.now)
 	if len(targets) <= maxLoadTargets {
 		return []*event.Loads{{Targets: targets, Requests: requests}}
 	}
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -9,6 +9,7 @@
 
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/gossip"
+	"plantainfield.example/core/serving"
 )
 
 const (
@@ -86,11 +87,12 @@
 	lastLoadsEmpty bool
 	// work is the work of the peers at each target.
 	work workSum
-	// demand is the rate of callers' requests, serving the instances that serve
-	// them as last chosen.
-	demand  demandState
-	serving servingState
-	follow  followState
+	// arrivals counts the callers' requests here. demand is their rate in the fleet,
+	// serving the instances that serve them as last chosen.
+	arrivals serving.Arrivals
+	demand   serving.Demand
+	serving  servingState
+	follow   followState
 	// longPromptAt is when each service last got a long prompt here.
 	longPromptAt map[string]time.Duration
 	// lastAddressCount is the number of addresses in the last answer to a caller.
@@ -359,7 +361,7 @@
 func (n *Node) logAddressCount(addresses []string) {
 	if len(addresses) != n.members.lastAddressCount {
 		n.members.lastAddressCount = len(addresses)
-		n.logChange("addresses changed", "named", len(addresses), "listed", n.fleetSize(), "requests_per_second", int64(n.members.demand.held), "since_peer_heard", n.now-n.members.lastHeard)
+		n.logChange("addresses changed", "named", len(addresses), "listed", n.fleetSize(), "requests_per_second", int64(n.members.demand.PerSecond), "since_peer_heard", n.now-n.members.lastHeard)
 	}
 }
 
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -135,7 +135,7 @@
 		return
 	}
 	n.requests.add(r)
-	n.members.demand.own.add()
+	n.members.arrivals.Add()
 	n.members.follow.lastRequest = n.now
 	n.reserveOrWait(r)
 }
--- a/core/node/servinginstances.go
+++ b/core/node/servinginstances.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -12,48 +11,14 @@
 )
 
 const (
-	// demandWindow is the time over which an instance counts its requests for one
-	// value of their rate.
-	demandWindow = time.Second
 	// demandTimeout is the age at which a peer's rate of requests is no longer
 	// used. In a large fleet each load message reaches a part of the peers.
 	demandTimeout = 5 * time.Second
-	// demandHalfLife is the time in which the rate of requests that the fleet is
-	// prepared for falls by half, so that a short lull changes little.
-	demandHalfLife = 20 * time.Second
 	// servingPeriod is how long the choice of the instances that serve callers is
 	// kept, except for an answer to a caller.
 	servingPeriod = 250 * time.Millisecond
 )
 
-// arrivals measures the rate of requests at this instance.
-type arrivals struct {
-	perSecond float64
-	// count is the number of requests since the window began.
-	count int
-	since time.Duration
-}
-
-func (a *arrivals) add() { a.count++ }
-
-// at returns the rate in the last full window.
-func (a *arrivals) at(now time.Duration) float64 {
-	if elapsed := now - a.since; elapsed >= demandWindow {
-		a.perSecond = float64(a.count) / elapsed.Seconds()
-		a.count, a.since = 0, now
-	}
-	return a.perSecond
-}
-
-// demandState is the rate of callers' requests in the fleet, per second.
-type demandState struct {
-	own arrivals
-	// held is the rate that the fleet is prepared for, as of heldAt. It rises
-	// with the measured rate and falls slowly.
-	held   float64
-	heldAt time.Duration
-}
-
 // servingState is the last choice of the instances that serve callers.
 type servingState struct {
 	at    time.Duration
@@ -67,19 +32,13 @@
 // demand returns the rate of callers' requests that the fleet is prepared for,
 // per second. While no peer is heard, it doesn't fall.
 func (n *Node) demand() float64 {
-	d := &n.members.demand
-	measured := d.own.at(n.now)
+	measured := n.members.arrivals.At(n.now)
 	for _, p := range n.members.peers {
 		if p.loads.at > 0 && n.now-p.loads.at < demandTimeout {
 			measured += p.loads.requests
 		}
 	}
-	if n.now-n.members.lastHeard < isolationTimeout {
-		d.held *= math.Exp2(-float64(n.now-d.heldAt) / float64(demandHalfLife))
-	}
-	d.heldAt = n.now
-	d.held = max(d.held, measured)
-	return d.held
+	return n.members.demand.Update(n.now, measured, n.now-n.members.lastHeard < isolationTimeout)
 }
 
 // chooseServing returns the instances that callers are directed to.
--- a/core/node/targetlimits.go
+++ b/core/node/targetlimits.go
@@ -143,7 +143,7 @@
 		}
 	}
 	wait := time.Second
-	if demand := n.members.demand.held; sum > 0 && demand > sum {
+	if demand := n.members.demand.PerSecond; sum > 0 && demand > sum {
 		wait = min(maxLimitedRetryAfter, time.Duration(float64(time.Second)*demand/sum))
 	}
 	return wait/2 + n.randomBelow(wait)
