Let a stream go on only at the software version that began it

Cause: where a stream began was known to one instance during one attempt and thrown away. The version of the entries was not read; an instance that a caller resumes a stream at could not know it.

Change: core/streamorigin records service and version with the first event, at the instance and at three peers that rendezvous hashing of the caller's attempt picks. An instance that does not know a stream asks the first five; without a record a stream goes on only if one version served alone and the instance hears from a peer; otherwise it is refused at once, as not run (stream_origin_unknown). Attempts go to targets of the origin only, and one that waits for them holds up no others. On a split route a resumed stream keeps its service.

--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -34,6 +34,7 @@
 	StreamCut                 Kind = "stream_cut"
 	Quarantined               Kind = "quarantined"
 	PartQuarantined           Kind = "prompt_part_quarantined"
+	StreamOriginUnknown       Kind = "stream_origin_unknown"
 	PlatformUnavailable       Kind = "platform_unavailable"
 	NotReady                  Kind = "not_ready"
 	Stopping                  Kind = "stopping"
@@ -108,6 +109,7 @@
 	StreamCut:            {http.StatusBadGateway, typeServer, RanUnknown, 1, "the answer was cut; it is not complete"},
 	Quarantined:          {http.StatusUnprocessableEntity, typeInvalid, RanUnknown, 0, "the request was given up after its attempts crashed targets"},
 	PartQuarantined:      {http.StatusUnprocessableEntity, typeInvalid, RanNo, 0, "a part of the prompt crashes the targets that answer it"},
+	StreamOriginUnknown:  {http.StatusServiceUnavailable, typeServer, RanNo, 1, "it is not known which software version began the stream"},
 	PlatformUnavailable:  {http.StatusServiceUnavailable, typeServer, RanNo, 5, "the platform's object API can't be reached"},
 	NotReady:             {http.StatusServiceUnavailable, typeServer, RanNo, 2, "the instance has no configuration yet"},
 	Stopping:             {http.StatusServiceUnavailable, typeServer, RanNo, 1, "the instance is stopping"},
--- a/core/event/peer.go
+++ b/core/event/peer.go
@@ -1,6 +1,9 @@
 package event
 
-import "plantainfield.example/core/ledger"
+import (
+	"plantainfield.example/core/ledger"
+	"plantainfield.example/core/streamorigin"
+)
 
 // PeerReceived is a message from another instance.
 type PeerReceived struct {
@@ -36,6 +39,8 @@
 	Loads           *Loads           `json:"loads,omitempty"`
 	LedgerRequest   *LedgerRequest   `json:"ledgerRequest,omitempty"`
 	LedgerReply     *LedgerReply     `json:"ledgerReply,omitempty"`
+
+	Origin *streamorigin.Message `json:"origin,omitempty"`
 }
 
 // LedgerRequest asks the writer of a ledger shard to apply the sender's
--- a/core/node/dispatch.go
+++ b/core/node/dispatch.go
@@ -85,7 +85,7 @@
 			}
 		case kind != errkind.Overloaded:
 			n.finishRefused(r, kind)
-		case len(r.failedTargets) == 0:
+		case len(r.failedTargets) == 0 && r.origin == nil:
 			return // there is no room for the requests behind it either
 		}
 	}
--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -85,7 +85,10 @@
 	if t != nil && t.Address == in.Address {
 		in.StartMillis = max(in.StartMillis, t.StartMillis)
 	}
-	if t == nil || t.Address != in.Address || t.StartMillis != in.StartMillis {
+	if t == nil || t.Address != in.Address || t.StartMillis != in.StartMillis || t.Version != in.Version {
+		if t != nil {
+			n.targetGone(t)
+		}
 		t = &target{Instance: in, knownSince: n.now, limiter: limit.New(), prefixes: routing.NewPrefixes()}
 		n.members.targets[in.Name] = t
 		n.members.invalidateTargetCaches()
@@ -120,6 +123,7 @@
 		t.unlistedAt = n.now
 	}
 	if t.inFlight == 0 && n.now-t.unlistedAt >= tombstoneTimeout {
+		n.targetGone(t)
 		delete(n.members.targets, t.Name)
 		n.members.invalidateTargetCaches()
 	}
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -307,6 +307,8 @@
 		n.ledgerRequested(p, m.LedgerRequest)
 	case m.LedgerReply != nil:
 		n.ledgerReplied(p, m.LedgerReply)
+	case m.Origin != nil:
+		n.originsAnswered(n.origins.Receive(n.now, p.Name, *m.Origin))
 	}
 }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -16,6 +16,7 @@
 	"plantainfield.example/core/ledger"
 	"plantainfield.example/core/retry"
 	"plantainfield.example/core/routing"
+	"plantainfield.example/core/streamorigin"
 )
 
 // Settings holds the start-up parameters of a node.
@@ -86,6 +87,7 @@
 	begun     begunState
 
 	quarantine quarantineState
+	origins    *streamorigin.Keeper
 
 	book        *budget.Book
 	selector    routing.Selector
@@ -119,6 +121,7 @@
 	n.waiting = dispatchState{queues: map[string]*targetQueue{}}
 	n.members = newMemberState()
 	n.quarantine = newQuarantineState()
+	n.origins = streamorigin.NewKeeper(s.Name, originFleet{n})
 	n.ledgers = newLedgerState(s.LedgerShards)
 	n.transfers = newTransferState()
 	n.members.self = s.Self
@@ -197,6 +200,7 @@
 	n.tickLoads()
 	n.tickLimits()
 	n.tickFollowing()
+	n.originsAnswered(n.origins.Expire(n.now))
 	n.tickRequests()
 	n.tickBegun()
 	n.tickBills()
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -9,6 +9,7 @@
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/retry"
+	"plantainfield.example/core/streamorigin"
 )
 
 // phase is the processing stage of a request.
@@ -21,6 +22,7 @@
 	phaseRunning                            // has an attempt in flight
 	phaseBilling                            // answered except for the last frame, which waits for the bill
 	phaseHandedOver                         // handed over to a peer
+	phaseWaitingForOrigin                   // resumes a stream; waiting for its origin
 	phaseWaitingForClaim                    // suspected of crashing targets; waiting for its claim
 )
 
@@ -82,6 +84,9 @@
 	// identifies the claim on it.
 	trial      string
 	trialClaim string
+	// origin is what began the stream, or nil if it has not begun or is not a stream
+	// that can be resumed.
+	origin *streamorigin.Origin
 	// replay is the recorded answer to send instead of running the request again.
 	replay *event.RecordedAnswer
 }
@@ -137,6 +142,10 @@
 	n.requests.add(r)
 	n.members.arrivals.Add()
 	n.members.follow.lastRequest = n.now
+	if r.Resumed {
+		n.findOrigin(r)
+		return
+	}
 	n.reserveOrWait(r)
 }
 
@@ -264,6 +273,7 @@
 		r.target.endPrefill(r)
 		n.sampleFirstToken(r)
 		n.quarantine.parts.RecordAnswer(n.now, r.Serves, r.SharedParts())
+		n.streamBegun(r)
 	}
 }
 
@@ -280,7 +290,7 @@
 		if r.Idempotent {
 			n.emit(event.Action{CancelAttempt: &event.CancelAttempt{Request: r.Request, Attempt: r.attempt}})
 		}
-	case phaseWaitingForGrant, phaseQueued:
+	case phaseWaitingForGrant, phaseWaitingForOrigin, phaseQueued:
 		n.finishRefused(r, errkind.CallerGone)
 	}
 }
--- a/core/node/status.go
+++ b/core/node/status.go
@@ -120,7 +120,7 @@
 // phaseNames holds the names of the phases in a dump, in the order of their
 // constants.
 var phaseNames = [...]string{
-	"waiting_for_grant", "waiting_for_begun_record", "queued", "running", "billing", "handed_over", "waiting_for_claim",
+	"waiting_for_grant", "waiting_for_begun_record", "queued", "running", "billing", "handed_over", "waiting_for_origin", "waiting_for_claim",
 }
 
 // Dump returns the node's state.
--- a/core/node/streamversion_test.go
+++ b/core/node/streamversion_test.go
@@ -10,6 +10,7 @@
 
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/streamorigin"
 )
 
 const (
@@ -183,3 +184,106 @@
 		}
 	})
 }
+
+// versionedTarget is the entry of a target with a version of the software.
+func versionedTarget(name, version string, start int64) event.Instance {
+	e := targetEntry(name)
+	e.Version, e.StartMillis = version, start
+	return e
+}
+
+// arriveStream sends a request for a stream, which resumes another one unless
+// resumes is empty.
+func (h *hosted) arriveStream(resumes string) []event.Action {
+	h.handle++
+	return h.step(event.Event{RequestArrived: &event.RequestArrived{
+		Request: h.handle, Customer: "c", Key: fmt.Sprint(h.handle), BodyHash: fmt.Sprint(h.handle), Serves: "app", Resumable: true, Idempotent: true,
+		Resumed: resumes != "", Resumes: resumes, MaxAttempts: 3, HandedOver: true, Deadline: 10 * time.Second,
+	}})
+}
+
+// beginStream begins a stream and returns its attempt.
+func (h *hosted) beginStream() *event.Dispatch {
+	d := dispatched(h.arriveStream(""))
+	h.step(event.Event{FirstToken: &event.FirstToken{Attempt: d.Attempt}})
+	return d
+}
+
+func TestInterruptedStreamIsResumedAtItsVersionOrRefusedAtOnce(t *testing.T) {
+	// Guards against streams that wait for a version that no target has, or go on at another one.
+	Convey("Given a stream that began at the only target of its version", t, func() {
+		h := newHosted()
+		h.list(false, versionedTarget("t1", "v1", 1))
+		d := h.beginStream()
+		first := fmt.Sprint(h.handle)
+		h.list(false, versionedTarget("t1", "v1", 1), versionedTarget("t2", "v2", 2))
+		lose := func() []event.Action {
+			actions := h.step(event.Event{AttemptEnded: &event.AttemptEnded{Attempt: d.Attempt, Outcome: event.AttemptCrashed, BytesDelivered: true, UsageKnown: true}})
+			return append(actions, h.advance(500*time.Millisecond)...)
+		}
+		Convey("it is refused at once after the loss of that target", func() {
+			actions := lose()
+			So(dispatched(actions), ShouldBeNil)
+			So(refusal(actions).Kind, ShouldEqual, errkind.NoTarget)
+		})
+		Convey("it goes on at another target of the version", func() {
+			h.list(false, versionedTarget("t1", "v1", 1), versionedTarget("t2", "v2", 2), versionedTarget("t3", "v1", 3))
+			So(dispatched(lose()).Target, ShouldEqual, "t3")
+		})
+		Convey("a caller who resumes it is sent to the same version, although the target has started again with another one", func() {
+			lose()
+			h.list(false, versionedTarget("t1", "v2", 9), versionedTarget("t2", "v2", 2), versionedTarget("t3", "v1", 3))
+			for range 5 {
+				So(dispatched(h.arriveStream(first)).Target, ShouldEqual, "t3")
+			}
+		})
+		Convey("one who resumes a stream of which nothing is known is refused at once, as not run", func() {
+			got := refusal(h.arriveStream("unknown"))
+			So(got.Kind, ShouldEqual, errkind.StreamOriginUnknown)
+			So(got.Ran, ShouldEqual, errkind.RanNo)
+		})
+	})
+}
+
+func TestStreamThatWaitsForItsVersionHoldsUpNoOthers(t *testing.T) {
+	// Guards against a queue that stands still behind a stream whose version has no room.
+	Convey("Given a stream that waits because all targets of its version are full", t, func() {
+		h := newHosted()
+		h.list(false, versionedTarget("t1", "v1", 1))
+		h.beginStream()
+		first := fmt.Sprint(h.handle)
+		for dispatched(h.arriveStream("")) != nil {
+		}
+		h.list(false, versionedTarget("t1", "v1", 1), versionedTarget("t2", "v2", 2))
+		h.advance(100 * time.Millisecond)
+		So(dispatched(h.arriveStream(first)), ShouldBeNil)
+		Convey("requests behind it go to the others", func() {
+			So(dispatched(h.arriveStream("")).Target, ShouldEqual, "t2")
+		})
+	})
+}
+
+func TestLostQuestionsOfOriginsEndInTime(t *testing.T) {
+	// Guards against requests that wait for a peer which never replies.
+	Convey("Given peers that do not reply, and targets of one version", t, func() {
+		h := newSuspectHosted(2, 3)
+		for _, p := range []string{"p1", "p2", "p3"} {
+			h.receive(p, event.PeerMessage{Heartbeat: &event.Heartbeat{}})
+		}
+		So(refusal(h.arriveStream("unknown")), ShouldBeNil)
+		Convey("a request that resumes a stream is refused soon, since this instance may be cut off", func() {
+			got := refusal(h.advance(300 * time.Millisecond))
+			So(got.Kind, ShouldEqual, errkind.StreamOriginUnknown)
+		})
+		Convey("it goes on if a peer replies that it knows nothing, and no other version has served", func() {
+			for _, p := range []string{"p1", "p2", "p3"} {
+				h.receive(p, event.PeerMessage{Origin: &streamorigin.Message{Reply: &streamorigin.Reply{Record: streamorigin.Record{Stream: streamorigin.Key("unknown")}}}})
+			}
+			So(h.node.requests.byHandle[h.handle].phase, ShouldEqual, phaseRunning)
+		})
+		Convey("it ends if its caller leaves meanwhile", func() {
+			So(refusal(h.step(event.Event{CallerGone: &event.CallerGone{Request: h.handle}})).Kind, ShouldEqual, errkind.CallerGone)
+			So(refusal(h.advance(300*time.Millisecond)), ShouldBeNil)
+		})
+	})
+}
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -117,7 +117,7 @@
 // are others that have no room or whose state is not known well enough.
 func (n *Node) openTargets(r *request, allowed func(*target) bool) (open []*target, full bool) {
 	for _, t := range n.members.targetsOf(r.Serves) {
-		if !allowed(t) || slices.Contains(r.failedTargets, t.Name) {
+		if !allowed(t) || !r.goesOnAt(t) || slices.Contains(r.failedTargets, t.Name) {
 			continue
 		}
 		now, ever := n.limitAllows(t)
--- /dev/null
+++ b/core/streamorigin/keeper.go
@@ -0,0 +1,134 @@
+package streamorigin
+
+import (
+	"slices"
+	"time"
+)
+
+// Fleet is what a Keeper asks of its instance.
+type Fleet interface {
+	// LiveInstances returns the names of the live instances, this one included.
+	LiveInstances() []string
+	// Alone reports whether no other instance exists, live or not.
+	Alone() bool
+	// TargetVersions returns the versions of the software of a service's targets.
+	TargetVersions(serves string) []string
+	// SendOrigin sends a message to a peer; it may get lost.
+	SendOrigin(peer string, m Message)
+}
+
+// Message is a tagged union: exactly one field is set.
+type Message struct {
+	// Record tells a holder where a stream began.
+	Record *Record `json:"record,omitempty"`
+	// Request asks for the origin of a stream.
+	Request *Request `json:"request,omitempty"`
+	Reply   *Reply   `json:"reply,omitempty"`
+}
+
+// Request asks a holder for the origin of a stream.
+type Request struct {
+	Stream uint64 `json:"stream"`
+}
+
+// Reply answers a Request.
+type Reply struct {
+	Record
+	// Known is set if the sender knows the origin.
+	Known bool `json:"known"`
+}
+
+// Keeper records where the streams of an instance begin, and finds out where those
+// began that callers resume at it.
+type Keeper struct {
+	self      string
+	fleet     Fleet
+	table     *Table
+	questions questions
+}
+
+// NewKeeper returns the keeper of an instance.
+func NewKeeper(self string, fleet Fleet) *Keeper {
+	return &Keeper{self: self, fleet: fleet, table: NewTable()}
+}
+
+// Began records the origin of a stream with its first event and tells the holders.
+// The attempt is the caller's.
+func (k *Keeper) Began(now time.Duration, attempt string, o Origin) {
+	r := &Record{Key(attempt), o}
+	k.table.Record(now, *r)
+	for _, peer := range k.peers(r.Stream, Holders) {
+		k.fleet.SendOrigin(peer, Message{Record: r})
+	}
+}
+
+// TargetGone records that a target of an origin has served until now.
+func (k *Keeper) TargetGone(now time.Duration, o Origin) { k.table.Served(now, o) }
+
+// Find returns the origin of the stream that a request resumes, if that is known at
+// once. Otherwise Receive or Expire return the answer. The attempt is the one that
+// brought the stream's first event, or empty if the caller does not name it.
+func (k *Keeper) Find(now time.Duration, request uint64, serves, attempt string) (Answer, bool) {
+	stream := Key(attempt)
+	if o, ok := k.table.Lookup(stream); ok {
+		return Answer{Request: request, Origin: o, Known: true}, true
+	}
+	peers := k.peers(stream, Asked)
+	if attempt == "" || len(peers) == 0 {
+		return k.withoutRecord(now, Answer{Request: request, serves: serves}, len(peers) > 0 || k.fleet.Alone()), true
+	}
+	k.questions.ask(now, Answer{Request: request, serves: serves}, stream, peers)
+	for _, peer := range peers {
+		k.fleet.SendOrigin(peer, Message{Request: &Request{stream}})
+	}
+	return Answer{}, false
+}
+
+// Receive handles a peer's message and returns the answers that it gives.
+func (k *Keeper) Receive(now time.Duration, from string, m Message) []Answer {
+	switch {
+	case m.Record != nil:
+		k.table.Record(now, *m.Record)
+	case m.Request != nil:
+		o, known := k.table.Lookup(m.Request.Stream)
+		k.fleet.SendOrigin(from, Message{Reply: &Reply{Record{m.Request.Stream, o}, known}})
+	case m.Reply != nil:
+		return k.complete(now, k.questions.reply(from, m.Reply))
+	}
+	return nil
+}
+
+// Expire returns the answers to the questions that have waited too long.
+func (k *Keeper) Expire(now time.Duration) []Answer {
+	return k.complete(now, k.questions.expire(now))
+}
+
+// Len returns the number of origins that are kept.
+func (k *Keeper) Len() int { return k.table.Len() }
+
+func (k *Keeper) complete(now time.Duration, answers []Answer) []Answer {
+	for i, a := range answers {
+		if !a.Known {
+			answers[i] = k.withoutRecord(now, a, a.Replies > 0)
+		}
+	}
+	return answers
+}
+
+// withoutRecord answers for a stream of which no record is found. It may go on only
+// if all targets have had the same software, as far as an instance knows that is
+// not cut off from its peers.
+func (k *Keeper) withoutRecord(now time.Duration, a Answer, connected bool) Answer {
+	for _, version := range k.fleet.TargetVersions(a.serves) {
+		k.table.Served(now, Origin{a.serves, version})
+	}
+	if connected {
+		a.Origin, a.Known = k.table.Only(now, a.serves)
+	}
+	return a
+}
+
+// peers returns the peers among the first instances that hold a stream's origin.
+func (k *Keeper) peers(stream uint64, count int) []string {
+	return slices.DeleteFunc(Rank(stream, k.fleet.LiveInstances(), count), func(name string) bool { return name == k.self })
+}
--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -52,7 +53,7 @@
 		zap.String("body", quarantine.ShortID(x.bodyHash)))
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.arrived.Add(x.timeout()), errTimeout)
 	defer cancel()
-	x.serves = x.route.Destination(xxhash.Sum64String(x.meta.AttemptID))
+	x.serves = x.route.Destination(xxhash.Sum64String(cmp.Or(x.meta.Resumes, x.meta.AttemptID)))
 	arrival := x.arrival(x.handle)
 	loop.Post(event.Event{RequestArrived: &arrival})
 	gone := ctx.Done()
