Look at the target of an attempt whose caller left before the answer began

Callers saw: a body that ends its targets was sent to 8 or 9 of them, six are allowed, if its callers left just before each end.

Cause: an attempt that its caller leaves ends as cancelled, and only lost connections are followed by a look at the target. Change: if no event has arrived, the gateway looks at the target 100 ms after the cancellation and reports with the end of the attempt whether it has ended, and how long ago the attempt did, so that health and queue estimates do not count the delay. Such an end counts as a crash of the body and of the prompt's parts.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -181,6 +181,10 @@
 	Unsent bool `json:"unsent,omitempty"`
 	// TargetError is set if the target itself answered with a failure.
 	TargetError bool `json:"targetError,omitempty"`
+	// TargetEnded is set if the target ended shortly after the attempt was cancelled.
+	// Ago is the time since the end of the attempt, if that is reported later.
+	TargetEnded bool          `json:"targetEnded,omitempty"`
+	Ago         time.Duration `json:"ago,omitempty"`
 	// TargetBusy is set if the target did not start the attempt because it is
 	// full.
 	TargetBusy bool `json:"targetBusy,omitempty"`
--- a/core/node/dispatch.go
+++ b/core/node/dispatch.go
@@ -185,7 +185,7 @@
 // time between tokens.
 func (n *Node) sampleAttemptEnd(r *request, e event.AttemptEnded) {
 	if e.Outcome != event.AttemptNotStarted {
-		n.waiting.queueFor(r.Serves).estimate.ObserveServiceTime(n.now - r.dispatched)
+		n.waiting.queueFor(r.Serves).estimate.ObserveServiceTime(n.now - e.Ago - r.dispatched)
 	}
 	if e.BetweenTokens > 0 && r.Kind == event.KindModel {
 		r.target.limiter.ObserveTokenInterval(n.limits(), e.BetweenTokens)
--- a/core/node/health.go
+++ b/core/node/health.go
@@ -75,7 +75,7 @@
 // unresponsive reports whether an attempt was cancelled at a target that had
 // sent nothing for unresponsiveAfter.
 func (n *Node) unresponsive(r *request, e event.AttemptEnded) bool {
-	return e.Outcome == event.AttemptCancelled && !r.firstTokenSeen && n.now-r.dispatched >= unresponsiveAfter
+	return e.Outcome == event.AttemptCancelled && !r.firstTokenSeen && n.now-e.Ago-r.dispatched >= unresponsiveAfter
 }
 
 func (n *Node) updateFailureShares(r *request, failed bool) {
--- a/core/node/quarantine.go
+++ b/core/node/quarantine.go
@@ -164,7 +164,7 @@
 // clears none: the target may have stopped before the point at which others ended.
 func (n *Node) updateQuarantine(r *request, e event.AttemptEnded) {
 	switch {
-	case e.Outcome == event.AttemptCrashed:
+	case e.Outcome == event.AttemptCrashed || e.TargetEnded:
 		n.recordCrash(r, e.Attempt)
 	case e.Outcome == event.AttemptCompleted && !e.TargetError:
 		n.quarantine.parts.RecordAnswer(n.now, r.Serves, r.SharedParts())
--- a/core/node/quarantinesync_test.go
+++ b/core/node/quarantinesync_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"plantainfield.example/core/config"
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 )
@@ -189,3 +190,20 @@
 		})
 	})
 }
+
+func TestCrashAfterItsCallerLeftCounts(t *testing.T) {
+	// Guards against bodies whose callers leave just before their targets end.
+	Convey("A body whose attempts were cancelled before their targets ended is given up, one whose targets go on is not", t, func() {
+		for _, ended := range []bool{true, false} {
+			h := newSuspectHosted(maxEnds, 0)
+			for range config.Defaults().Policies.Quarantine.MaxTargets {
+				d := dispatched(h.arriveWith(suspectBody))
+				So(d, ShouldNotBeNil)
+				h.step(event.Event{CallerGone: &event.CallerGone{Request: h.handle}})
+				h.step(event.Event{AttemptEnded: &event.AttemptEnded{Attempt: d.Attempt, Outcome: event.AttemptCancelled, TargetEnded: ended, UsageKnown: true}})
+				h.advance(100 * time.Millisecond)
+			}
+			So(refusal(h.arriveWith(suspectBody)) != nil, ShouldEqual, ended)
+		}
+	})
+}
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -24,6 +24,9 @@
 	// retried if the response breaks off.
 	maxBufferedBytes = 256 << 10
 	readBufferBytes  = 16 << 10
+	// cancelledLookDelay is the time after which the target of an attempt whose caller
+	// left before the answer began is looked at: it may have ended under the request.
+	cancelledLookDelay = 100 * time.Millisecond
 	// maxEventBytes bounds an event of a stream, which is held until it is
 	// complete.
 	maxEventBytes = 256 << 10
@@ -87,7 +90,7 @@
 		end.Outcome, end.Unsent = event.AttemptNotStarted, true
 		return end
 	}
-	began, after := time.Now(), x.lastEventID()
+	began, after, events := time.Now(), x.lastEventID(), x.relay.events.count
 	resp, err := x.server.targets.Do(ctx, d.Address, x.targetRequest(ctx, d), x.body)
 	status := 0
 	if err != nil {
@@ -111,6 +114,11 @@
 			end.Outcome = x.classifyLostConnection(ctx, d.Address)
 		}
 	}
+	if end.Outcome == event.AttemptCancelled && x.r.Context().Err() != nil && x.relay.events.count == events {
+		cancelled := time.Now()
+		time.Sleep(cancelledLookDelay)
+		end.TargetEnded, end.Ago = x.targetEnded(ctx, d.Address), time.Since(cancelled)
+	}
 	end.Usage = x.tokenUsage(end)
 	end.BytesDelivered = x.relay.started
 	x.log.Info("attempt ended", zap.String("target", d.Target), zap.String("outcome", string(end.Outcome)), zap.Int("status", status),
