Keep the version of a target's last start against an older list

Callers would see: a stream goes on at a target that an outdated list shows with its former software. Cause: an entry with an earlier start says nothing of the start that is known, but its version was taken. It is now kept with the start. TestOlderEntryDoesNotBringBackTheVersionOfAnEarlierStart failed before (v1 instead of v2).

--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -82,8 +82,8 @@
 // or with an earlier one, says nothing of the start that is known.
 func (n *Node) targetListed(in event.Instance) {
 	t := n.members.targets[in.Name]
-	if t != nil && t.Address == in.Address {
-		in.StartMillis = max(in.StartMillis, t.StartMillis)
+	if t != nil && t.Address == in.Address && in.StartMillis < t.StartMillis {
+		in.StartMillis, in.Version = t.StartMillis, t.Version
 	}
 	if t == nil || t.Address != in.Address || t.StartMillis != in.StartMillis || t.Version != in.Version {
 		if t != nil {
--- a/core/node/streamversion_test.go
+++ b/core/node/streamversion_test.go
@@ -245,6 +245,19 @@
 	})
 }
 
+func TestOlderEntryDoesNotBringBackTheVersionOfAnEarlierStart(t *testing.T) {
+	// Guards against streams that go on at a target which an outdated list shows with its former software.
+	Convey("Given a target that has started again with another version", t, func() {
+		h := newHosted()
+		h.list(false, versionedTarget("t1", "v1", 1))
+		h.list(false, versionedTarget("t1", "v2", 2))
+		Convey("an older list changes nothing", func() {
+			h.list(false, versionedTarget("t1", "v1", 1))
+			So(h.beginStream().Version, ShouldEqual, "v2")
+		})
+	})
+}
+
 func TestStreamThatWaitsForItsVersionHoldsUpNoOthers(t *testing.T) {
 	// Guards against a queue that stands still behind a stream whose version has no room.
 	Convey("Given a stream that waits because all targets of its version are full", t, func() {
