Report attempts that never left the instance as not started, whatever ended them

Cause: classifyError took an attempt for cancelled, and so for one that may have run, if the request's context had ended, also where the connection had not been opened. Now ErrUnsent decides alone; the core learns that the request has ended before it learns of the attempt, so that it does not try the next target, and such an attempt does not count against its target.

TestRequestThatNeverLeftTheInstanceIsAnsweredAsNotRun failed before (504 instead of 503 for calls that may and may not be repeated).

--- a/core/node/health.go
+++ b/core/node/health.go
@@ -45,7 +45,7 @@
 	t := r.target
 	switch {
 	case e.TargetBusy, e.TargetLeaving:
-	case lostAttempt(e) || n.unresponsive(r, e):
+	case r.lostAttempt(e) || n.unresponsive(r, e):
 		n.updateFailureShares(r, true)
 		t.avoidUntil = n.now + min(avoidAfterFailure<<min(t.health.losses, 4), maxAvoidTime)
 		t.health.losses++
@@ -63,10 +63,12 @@
 }
 
 // lostAttempt reports whether the attempt ended without an answer from the
-// target.
-func lostAttempt(e event.AttemptEnded) bool {
+// target. One that its caller ended before it was sent says nothing.
+func (r *request) lostAttempt(e event.AttemptEnded) bool {
 	switch e.Outcome {
-	case event.AttemptNotStarted, event.AttemptFailed, event.AttemptCrashed:
+	case event.AttemptNotStarted:
+		return !(e.Unsent && r.callerGone)
+	case event.AttemptFailed, event.AttemptCrashed:
 		return !e.TargetError
 	}
 	return false
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -241,7 +241,7 @@
 // classifyError returns the outcome of an attempt that got no response.
 func (x *exchange) classifyError(ctx context.Context, address string, err error) event.AttemptOutcome {
 	switch {
-	case errors.Is(err, upstream.ErrUnsent) && ctx.Err() == nil:
+	case errors.Is(err, upstream.ErrUnsent):
 		return event.AttemptNotStarted
 	case ctx.Err() != nil:
 		return event.AttemptCancelled
--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -91,6 +91,9 @@
 	switch {
 	case a.Dispatch != nil:
 		end := x.attempt(ctx, a.Dispatch)
+		if end.Unsent && ctx.Err() != nil {
+			x.abandon(ctx) // before the core tries another target
+		}
 		x.server.loop.Post(event.Event{AttemptEnded: &end})
 		return x.handleAttemptEnd(end)
 	case a.Refuse != nil:
