--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -50,7 +50,9 @@
 	// AttemptIDHeader is the header in which targets return the attempt ID.
 	AttemptIDHeader string
 	Protocol        gateway.Protocol
-	PlatformClient  runtime.PlatformClient
+	// DialTarget opens connections to targets; nil for TCP.
+	DialTarget     upstream.DialFunc
+	PlatformClient runtime.PlatformClient
 	// PlatformCalls counts the calls to the platform.
 	PlatformCalls *callstats.Recorder
 	// BackgroundTasks returns the tasks that follow the platform's state, given
@@ -120,7 +122,7 @@
 }
 
 func newUpstream(adapter *PlatformAdapter) *upstream.Client {
-	return upstream.NewClient(adapter.AttemptIDHeader)
+	return upstream.NewClient(adapter.AttemptIDHeader, adapter.DialTarget)
 }
 
 func newGateway(adapter *PlatformAdapter, loop *runtime.Loop, targets *upstream.Client, log *zap.Logger) *gateway.Server {
--- a/fleet/upstream/upstream.go
+++ b/fleet/upstream/upstream.go
@@ -51,7 +51,7 @@
 type Client struct {
 	// attemptHeader is the header in which targets return the attempt ID.
 	attemptHeader string
-	dialer        net.Dialer
+	openConn      DialFunc
 	settleTime    time.Duration
 	// ConnectionsOpened counts new connections.
 	ConnectionsOpened atomic.Uint64
@@ -62,12 +62,18 @@
 	idle map[string][]*conn
 }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a Client for targets that return the attempt ID in
-// attemptHeader.
-func NewClient(attemptHeader string) *Client {
+// attemptHeader. Connections are opened with dial, or over TCP if it is nil.
+func NewClient(attemptHeader string, dial DialFunc) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: SetSocketOptions}).DialContext
+	}
 	return &Client{
 		attemptHeader: attemptHeader,
-		dialer:        net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: SetSocketOptions},
+		openConn:      dial,
 		settleTime:    defaultSettleTime,
 		idle:          map[string][]*conn{},
 	}
@@ -151,7 +157,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.openConn(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/fleet/upstream/upstream_test.go
+++ b/fleet/upstream/upstream_test.go
@@ -95,7 +95,7 @@
 				_, _ = io.WriteString(c, responseWithID(id, "ok "+id))
 			}
 		})
-		client := NewClient(attemptHeader)
+		client := NewClient(attemptHeader, nil)
 		for _, id := range []string{"a", "b", "c"} {
 			got, err := post(client, address, id, []byte("body"))
 			So(err, ShouldBeNil)
@@ -112,7 +112,7 @@
 			_, _ = io.WriteString(c, responseWithID("late", "wrong")+responseWithID(id, "right"))
 			_, _, _ = readRequest(r)
 		})
-		got, err := post(NewClient(attemptHeader), address, "a", nil)
+		got, err := post(NewClient(attemptHeader, nil), address, "a", nil)
 		So(err, ShouldBeNil)
 		So(got, ShouldEqual, "right")
 	})
@@ -127,7 +127,7 @@
 			}
 			_, _, _ = readRequest(r)
 		})
-		client := NewClient(attemptHeader)
+		client := NewClient(attemptHeader, nil)
 		_, err := post(client, address, "a", nil)
 		So(err, ShouldBeNil)
 		<-extra
@@ -152,7 +152,7 @@
 				}
 			}
 		})
-		client := NewClient(attemptHeader)
+		client := NewClient(attemptHeader, nil)
 		_, err := post(client, address, "a", nil)
 		So(err, ShouldBeNil)
 		_, err = post(client, address, "b", nil)
@@ -165,7 +165,7 @@
 		So(err, ShouldBeNil)
 		address := l.Addr().String()
 		_ = l.Close()
-		_, err = post(NewClient(attemptHeader), address, "a", nil)
+		_, err = post(NewClient(attemptHeader, nil), address, "a", nil)
 		So(errors.Is(err, ErrUnsent), ShouldBeTrue)
 	})
 }
@@ -180,7 +180,7 @@
 			_, _ = io.WriteString(c, responseWithID(req.Header.Get(attemptHeader), "early"))
 			_, _ = io.Copy(io.Discard, req.Body)
 		})
-		got, err := post(NewClient(attemptHeader), address, "a", []byte(strings.Repeat("b", 4<<20)))
+		got, err := post(NewClient(attemptHeader, nil), address, "a", []byte(strings.Repeat("b", 4<<20)))
 		So(err, ShouldBeNil)
 		So(got, ShouldEqual, "early")
 	})
@@ -191,7 +191,7 @@
 			length <- n
 			_, _ = io.WriteString(c, responseWithID(id, "ok"))
 		})
-		_, err := post(NewClient(attemptHeader), address, "a", []byte(strings.Repeat("b", 1<<20)))
+		_, err := post(NewClient(attemptHeader, nil), address, "a", []byte(strings.Repeat("b", 1<<20)))
 		So(err, ShouldBeNil)
 		So(<-length, ShouldEqual, 1<<20)
 	})
@@ -208,7 +208,7 @@
 				_, _, _ = readRequest(r)
 				_, _ = io.WriteString(c, bytes)
 			})
-			_, err := post(NewClient(attemptHeader), address, "a", nil)
+			_, err := post(NewClient(attemptHeader, nil), address, "a", nil)
 			So(err, ShouldNotBeNil)
 		})
 	}
@@ -229,7 +229,7 @@
 			<-reading
 			cancel()
 		}()
-		_, err := NewClient(attemptHeader).Do(ctx, address, request(http.MethodPost, "a"), nil)
+		_, err := NewClient(attemptHeader, nil).Do(ctx, address, request(http.MethodPost, "a"), nil)
 		So(errors.Is(err, context.Canceled), ShouldBeTrue)
 		<-closed
 	})
@@ -263,7 +263,7 @@
 					}
 				}
 			})
-			_, err := post(NewClient(attemptHeader), address, "a", nil)
+			_, err := post(NewClient(attemptHeader, nil), address, "a", nil)
 			Convey("gets its connection closed after a bounded number of bytes", func() {
 				So(errors.Is(err, ErrHeadTooLong), ShouldBeTrue)
 				So(errors.Is(err, ErrUnsent), ShouldBeFalse)
@@ -281,7 +281,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		_ = l.Close()
-		client := NewClient(attemptHeader)
+		client := NewClient(attemptHeader, nil)
 		So(client.Refuses(context.Background(), l.Addr().String()), ShouldBeTrue)
 		So(client.idle, ShouldBeEmpty)
 	})
@@ -295,7 +295,7 @@
 				_, _ = io.WriteString(c, responseWithID(id, "ok "+id))
 			}
 		})
-		client := NewClient(attemptHeader)
+		client := NewClient(attemptHeader, nil)
 		So(client.Refuses(context.Background(), address), ShouldBeFalse)
 		got, err := post(client, address, "a", nil)
 		So(err, ShouldBeNil)
@@ -306,7 +306,7 @@
 		address, connections := newScriptedTarget(t, func(_ int64, c net.Conn, _ *bufio.Reader) {
 			_ = c.(*net.TCPConn).SetLinger(0) // resets the connection
 		})
-		client := NewClient(attemptHeader)
+		client := NewClient(attemptHeader, nil)
 		client.settleTime = waitLimit
 		So(client.Refuses(context.Background(), address), ShouldBeFalse)
 		So(connections.Load(), ShouldEqual, 2)
@@ -322,7 +322,7 @@
 				_ = c.Close()
 			}
 		}()
-		client := NewClient(attemptHeader)
+		client := NewClient(attemptHeader, nil)
 		client.settleTime = waitLimit
 		So(client.Refuses(context.Background(), l.Addr().String()), ShouldBeTrue)
 		So(client.idle, ShouldBeEmpty)
@@ -332,14 +332,14 @@
 			_, _ = io.WriteString(c, responseWithID("none", "unsolicited"))
 			_, _ = r.ReadByte()
 		})
-		client := NewClient(attemptHeader)
+		client := NewClient(attemptHeader, nil)
 		client.settleTime = waitLimit
 		So(client.Refuses(context.Background(), address), ShouldBeFalse)
 		So(client.idle, ShouldBeEmpty)
 	})
 	Convey("A target that is silent does not refuse, and is not waited for longer than the limit", t, func() {
 		address := newSilentAddress(t)
-		client := NewClient(attemptHeader)
+		client := NewClient(attemptHeader, nil)
 		began := time.Now()
 		So(client.Refuses(context.Background(), address), ShouldBeFalse)
 		So(time.Since(began), ShouldBeBetween, probeTimeout, waitLimit)
@@ -347,7 +347,7 @@
 	})
 	Convey("The pool holds no more connections of probes than of requests", t, func() {
 		address, _ := newScriptedTarget(t, waitForClose)
-		client := NewClient(attemptHeader)
+		client := NewClient(attemptHeader, nil)
 		var probes sync.WaitGroup
 		for range 2 * maxIdlePerTarget {
 			probes.Go(func() { client.Refuses(context.Background(), address) })
