--- a/core/event/peer.go
+++ b/core/event/peer.go
@@ -95,6 +95,8 @@
 	Parts int `json:"s,omitempty"`
 	// Requests is the rate of callers' requests at the sender, per second.
 	Requests float64 `json:"q,omitempty"`
+	// Unreached are the services of which the sender reaches no target.
+	Unreached []string `json:"x,omitempty"`
 }
 
 // TargetLoad is one instance's load at a target. Its JSON names are short
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -9,6 +9,7 @@
 
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/gossip"
+	"plantainfield.example/core/peerload"
 	"plantainfield.example/core/serving"
 )
 
@@ -55,7 +56,7 @@
 	// stopping or silent.
 	stoppingAt time.Duration
 	silentAt   time.Duration
-	loads      peerLoads
+	loads      peerload.Peer
 }
 
 // memberState is the fleet as this instance knows it.
--- a/core/node/servinginstances.go
+++ b/core/node/servinginstances.go
@@ -10,14 +10,9 @@
 	"plantainfield.example/core/serving"
 )
 
-const (
-	// demandTimeout is the age at which a peer's rate of requests is no longer
-	// used. In a large fleet each load message reaches a part of the peers.
-	demandTimeout = 5 * time.Second
-	// servingPeriod is how long the choice of the instances that serve callers is
-	// kept, except for an answer to a caller.
-	servingPeriod = 250 * time.Millisecond
-)
+// servingPeriod is how long the choice of the instances that serve callers is
+// kept, except for an answer to a caller.
+const servingPeriod = 250 * time.Millisecond
 
 // servingState is the last choice of the instances that serve callers.
 type servingState struct {
@@ -34,8 +29,8 @@
 func (n *Node) demand() float64 {
 	measured := n.members.arrivals.At(n.now)
 	for _, p := range n.members.peers {
-		if p.loads.at > 0 && n.now-p.loads.at < demandTimeout {
-			measured += p.loads.requests
+		if p.loads.Recent(n.now) {
+			measured += p.loads.Requests
 		}
 	}
 	return n.members.demand.Update(n.now, measured, n.now-n.members.lastHeard < isolationTimeout)
--- a/core/node/servinginstances_test.go
+++ b/core/node/servinginstances_test.go
@@ -10,6 +10,7 @@
 
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/peerload"
 )
 
 // mixedFleet returns a hosted node in a fleet of itself, seven other instances
@@ -108,7 +109,7 @@
 		for i := range 100 {
 			targets = append(targets, event.TargetLoad{Target: fmt.Sprintf("i-%010d", i), PrefillTokens: 123_456, Running: 12})
 		}
-		messages := h.node.loadMessages(targets)
+		messages := peerload.Messages(event.Loads{Targets: targets})
 		So(len(messages), ShouldBeGreaterThan, 1)
 		for _, m := range messages {
 			raw, err := json.Marshal(event.PeerMessage{Loads: m})
@@ -123,7 +124,7 @@
 			for _, m := range []event.Loads{{Part: 3, Parts: 2}, {Part: -1}, {Parts: 1 << 30}} {
 				h.hear(entries[1].Name, event.PeerMessage{Loads: &m})
 			}
-			So(h.node.members.peers[entries[1].Name].loads.at, ShouldEqual, 0)
+			So(h.node.members.peers[entries[1].Name].loads.At, ShouldEqual, 0)
 		})
 	})
 }
