Hand requests over to peers while this instance reaches no target

Cause: the loss of a target was only known for that target. An instance dialled one target after the other, 500 ms each (1,725 dial timeouts in 9 s), until its requests timed out, and had no other way to a target.

core/reach tells the partition from failures of single targets: three different targets of a service lost with no sign of life of any. The other targets are probed then, so that a quiet instance knows soon and callers' requests don't search for the end. Requests go to the less busy of two random peers that reach the service, at most once over each of three peers, marked so that no peer hands them on. Calls that may run once are handed over only while not sent; attempts left and time left go along. Peers learn of it with load messages; addresses leave out instances that reach no service at all. A request that all targets refused at the connection takes the same way.

--- a/core/event/action.go
+++ b/core/event/action.go
@@ -16,6 +16,7 @@
 	Refuse          *Refuse          `json:"refuse,omitempty"`
 	ReplayAnswer    *ReplayAnswer    `json:"replayAnswer,omitempty"`
 	HandOver        *HandOver        `json:"handOver,omitempty"`
+	ProbeTarget     *ProbeTarget     `json:"probeTarget,omitempty"`
 	PlatformCall    *PlatformCall    `json:"platformCall,omitempty"`
 	SendPeer        *SendPeer        `json:"sendPeer,omitempty"`
 	AdoptConfig     *AdoptConfig     `json:"adoptConfig,omitempty"`
@@ -94,7 +95,18 @@
 // HandOver hands over to a peer a request that was not run.
 type HandOver struct {
 	Request uint64 `json:"request"`
-	// Address is IP:port of the peer's listener for callers.
+	// Peer is the name of the peer, and Address IP:port of its listener for callers.
+	Peer    string `json:"peer"`
+	Address string `json:"address"`
+	// MaxAttempts is the number of targets that the peer may send the request to,
+	// or 0 for the policy's value.
+	MaxAttempts int `json:"maxAttempts,omitempty"`
+}
+
+// ProbeTarget asks whether a new connection to a target can be opened. The driver
+// answers with one TargetProbed.
+type ProbeTarget struct {
+	Target  string `json:"target"`
 	Address string `json:"address"`
 }
 
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -37,6 +37,7 @@
 	PeerReceived       *PeerReceived       `json:"peerReceived,omitempty"`
 	TargetReported     *TargetReported     `json:"targetReported,omitempty"`
 	HandOverEnded      *HandOverEnded      `json:"handOverEnded,omitempty"`
+	TargetProbed       *TargetProbed       `json:"targetProbed,omitempty"`
 	ApplyRequested     *ApplyRequested     `json:"applyRequested,omitempty"`
 	AddressesRequested *AddressesRequested `json:"addressesAsked,omitempty"`
 	StatusRequested    *StatusRequested    `json:"statusAsked,omitempty"`
@@ -101,9 +102,12 @@
 	// MaxAttempts is the maximum number of targets that the request may be sent
 	// to; 0 for the policy's value.
 	MaxAttempts int `json:"maxAttempts,omitempty"`
-	// HandedOver is set if the request must not be handed over to a peer:
-	// because a peer handed it over, or because it came through the gateway.
+	// HandedOver is set if a peer handed the request over: it must not be handed
+	// over again.
 	HandedOver bool `json:"handedOver,omitempty"`
+	// NoTokenHandOver is set if the request must not be handed over for lack of
+	// tokens.
+	NoTokenHandOver bool `json:"noTokenHandOver,omitempty"`
 }
 
 // SharedParts returns the parts that other prompts may share: the last one belongs
@@ -354,6 +358,19 @@
 	Refused bool `json:"refused"`
 	// Kind is the peer's error kind, or errkind.None.
 	Kind errkind.Kind `json:"kind,omitempty"`
+	// RetryAfter is when the peer asked the caller to come back, or 0.
+	RetryAfter time.Duration `json:"retryAfter,omitempty"`
+	// Lost is set if the peer may have run the request but its answer did not
+	// arrive completely, and BytesDelivered if a byte of it has reached the caller.
+	Lost           bool `json:"lost,omitempty"`
+	BytesDelivered bool `json:"bytesDelivered,omitempty"`
+}
+
+// TargetProbed reports whether a new connection to a target could be opened.
+type TargetProbed struct {
+	Target  string `json:"target"`
+	Address string `json:"address"`
+	Reached bool   `json:"reached,omitempty"`
 }
 
 // ApplyRequested asks to apply a configuration file.
--- a/core/node/dispatch.go
+++ b/core/node/dispatch.go
@@ -76,6 +76,9 @@
 // drain dispatches queued requests in order while targets have room.
 func (n *Node) drain(q *targetQueue) {
 	for _, r := range q.entries.Values() {
+		if n.handOverUnreached(r) {
+			continue
+		}
 		target, kind := n.chooseTarget(r)
 		switch {
 		case kind == errkind.None:
@@ -84,7 +87,9 @@
 				n.dispatch(r, target)
 			}
 		case kind != errkind.Overloaded:
-			n.finishRefused(r, kind)
+			if !n.targetsRefused(r) || !n.handOverToServe(r) {
+				n.finishRefused(r, kind)
+			}
 		case len(r.failedTargets) == 0 && r.origin == nil:
 			return // there is no room for the requests behind it either
 		}
--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -35,7 +35,7 @@
 		offer.Admissible -= min(offer.Admissible, r.WorstCaseTokens)
 		rd.offers[name] = offer
 		r.phase = phaseHandedOver
-		n.emit(event.Action{HandOver: &event.HandOver{Request: r.Request, Address: n.members.peers[name].Address}})
+		n.emit(event.Action{HandOver: &event.HandOver{Request: r.Request, Peer: name, Address: n.members.peers[name].Address}})
 		return
 	}
 	n.logTokensUnavailable(r, rd)
@@ -68,7 +68,7 @@
 // from the ledger counts only if this instance could not read the ledger
 // itself.
 func (n *Node) handOverPeer(r *request, rd *transferRound) string {
-	if rd == nil || r.HandedOver || r.callerGone || r.attempts > 0 || r.record != nil {
+	if rd == nil || r.HandedOver || r.NoTokenHandOver || r.callerGone || r.attempts > 0 || r.record != nil {
 		return ""
 	}
 	best, bestAdmissible := "", int64(0)
@@ -93,8 +93,10 @@
 		return
 	}
 	switch {
-	case !e.Refused:
+	case !e.Refused && !e.Lost:
 		n.requests.remove(r)
+	case len(r.handedTo) > 0:
+		n.handOverToServeEnded(r, e)
 	case r.callerGone:
 		n.finishRefused(r, errkind.CallerGone)
 	case n.tryReserve(r):
@@ -169,7 +171,7 @@
 	if n.budgetCovers(r, kind) {
 		return busyRetryAfter
 	}
-	if kind == errkind.BudgetUnavailable && r.HandedOver && n.othersHaveTokens(r) {
+	if kind == errkind.BudgetUnavailable && (r.HandedOver || r.NoTokenHandOver) && n.othersHaveTokens(r) {
 		return otherHolderRetryAfter
 	}
 	return time.Duration(errkind.Lookup(kind).RetryAfterSeconds) * time.Second
--- a/core/node/hosted_test.go
+++ b/core/node/hosted_test.go
@@ -11,6 +11,7 @@
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/placement"
+	"plantainfield.example/core/targethealth"
 )
 
 // hosted is a node on a platform that stores the configuration.
@@ -135,8 +136,8 @@
 			bad := d.Target
 			So(end(h, 2, d, event.AttemptEnded{Outcome: event.AttemptCrashed}).Target, ShouldNotEqual, bad)
 			t1 := h.node.members.targets[bad]
-			So(t1.avoidUntil-h.now, ShouldEqual, avoidAfterFailure)
-			h.advance(avoidAfterFailure)
+			So(t1.avoidUntil-h.now, ShouldEqual, targethealth.AvoidAfterFailure)
+			h.advance(targethealth.AvoidAfterFailure)
 			for handle := uint64(3); ; handle++ {
 				next := dispatched(h.arrive(handle, 0))
 				if next.Target == bad {
@@ -144,7 +145,7 @@
 					break
 				}
 			}
-			So(t1.avoidUntil-h.now, ShouldEqual, 2*avoidAfterFailure)
+			So(t1.avoidUntil-h.now, ShouldEqual, 2*targethealth.AvoidAfterFailure)
 		})
 		Convey("a target that answers with errors no more often than its service is not avoided", func() {
 			for handle := uint64(2); handle < 40; handle++ {
--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -20,42 +20,6 @@
 // says.
 func (t *target) observedLeaving() bool { return t.delisted || t.reportsLeaving || t.saysLeaving }
 
-const (
-	// firstReportTimeout is how long to wait for a new target's first report
-	// before relying on the instance list alone. It leaves a second beyond the
-	// longest pause of this process that is not detected.
-	firstReportTimeout = pauseThreshold + time.Second
-	// minReportTTL is the age up to which a report is always valid.
-	minReportTTL = 1500 * time.Millisecond
-	// reportTTLPeriods is the validity of a report in report intervals, for
-	// targets that report rarely.
-	reportTTLPeriods = 3
-)
-
-// stateFresh reports whether the target's state is known well enough to give it
-// work. An instance that was paused, or has just started, may have missed that
-// the target is leaving.
-func (t *target) stateFresh(now, resumedAt time.Duration) bool {
-	if t.unreachable {
-		return false
-	}
-	if t.lastReportAt == 0 {
-		return now-max(t.knownSince, resumedAt) >= firstReportTimeout
-	}
-	return now-t.lastReportAt < max(minReportTTL, reportTTLPeriods*t.reportInterval)
-}
-
-// recordReport updates the time of the target's last report and the interval
-// between its reports.
-func (t *target) recordReport(now time.Duration) {
-	if t.lastReportAt > 0 {
-		const smoothing = 8
-		// A new interval has a weight of 1/8.
-		t.reportInterval += (now - t.lastReportAt - t.reportInterval) / smoothing
-	}
-	t.lastReportAt = now
-}
-
 // reinstate allows new attempts at a target that was leaving. The list must
 // show it as live, and either its own report or its reappearance in the list
 // must confirm that. The last evidence of leaving must be older than the delay
--- a/core/node/loads.go
+++ b/core/node/loads.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"plantainfield.example/core/config"
@@ -28,12 +26,14 @@
 			targets = append(targets, event.TargetLoad{Target: name, PrefillTokens: t.prefillTokens, Running: t.inFlight})
 		}
 	}
-	if len(targets) == 0 && n.members.lastLoadsEmpty {
+	load := event.Loads{Targets: targets, Requests: n.members.arrivals.At(n.now), Unreached: n.reach.Services()}
+	empty := len(load.Targets) == 0 && len(load.Unreached) == 0
+	if empty && n.members.lastLoadsEmpty {
 		return
 	}
-	n.members.lastLoadsEmpty = len(targets) == 0
-	messages := peerload.Messages(event.Loads{Targets: targets, Requests: n.members.arrivals.At(n.now)})
-	for _, name := range n.loadReceivers() {
+	n.members.lastLoadsEmpty = empty
+	messages := peerload.Messages(load)
+	for _, name := range peerload.Receivers(n.randomPeers(len(n.members.peers)), n.working, n.rng) {
 		p := n.members.peers[name]
 		if !n.live(p) || p.DatagramAddress == "" {
 			continue
@@ -44,31 +44,8 @@
 	}
 }
 
-// loadReceivers returns the names of the peers that get the next load message.
-func (n *Node) loadReceivers() []string {
-	names := n.randomPeers(len(n.members.peers))
-	if len(names) <= peerload.MaxPeers {
-		return names
-	}
-	slices.SortStableFunc(names, func(a, b string) int {
-		return cmp.Compare(n.workingRank(a), n.workingRank(b))
-	})
-	working := 0
-	for working < peerload.MaxPeers-peerload.OtherPeers && n.workingRank(names[working]) == 0 {
-		working++
-	}
-	rest := names[working:]
-	n.rng.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
-	return names[:peerload.MaxPeers]
-}
-
-// workingRank is 0 for a peer that recently had work, and 1 for others.
-func (n *Node) workingRank(name string) int {
-	if n.members.peers[name].loads.Working(n.now) {
-		return 0
-	}
-	return 1
-}
+// working reports whether a peer recently had work at targets.
+func (n *Node) working(name string) bool { return n.members.peers[name].loads.Working(n.now) }
 
 // loadsReceived stores a peer's work at targets.
 func (n *Node) loadsReceived(p *peer, m *event.Loads) {
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -154,6 +154,17 @@
 	return m.targetsByService[service]
 }
 
+// servicesWithTargets returns the models and services that targets serve, in any
+// order.
+func (m *memberState) servicesWithTargets() []string {
+	m.targetsOf("") // fills the index
+	services := make([]string, 0, len(m.targetsByService))
+	for service := range m.targetsByService {
+		services = append(services, service)
+	}
+	return services
+}
+
 // peerNames returns the peers' names in order. The caller must not modify the
 // slice.
 func (m *memberState) peerNames() []string {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -14,9 +14,11 @@
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/ledger"
+	"plantainfield.example/core/reach"
 	"plantainfield.example/core/retry"
 	"plantainfield.example/core/routing"
 	"plantainfield.example/core/streamorigin"
+	"plantainfield.example/core/targethealth"
 )
 
 // Settings holds the start-up parameters of a node.
@@ -88,6 +90,7 @@
 
 	quarantine quarantineState
 	origins    *streamorigin.Keeper
+	reach      *reach.Tracker
 
 	book        *budget.Book
 	selector    routing.Selector
@@ -95,9 +98,7 @@
 
 	requests requestTable
 	waiting  dispatchState
-	// serviceFailureShare is the moving average of the share of failed attempts,
-	// by service.
-	serviceFailureShare map[string]float64
+	health   targethealth.Services
 
 	stopping bool
 	// refuseFrom is the time from which a stopping instance refuses new requests.
@@ -115,11 +116,10 @@
 		selector:    routing.New(config.Defaults().Policies.Routing),
 		retryBudget: retry.NewBudget(),
 		requests:    newRequestTable(),
-
-		serviceFailureShare: map[string]float64{},
+		health:      targethealth.Services{},
 	}
 	n.waiting = dispatchState{queues: map[string]*targetQueue{}}
-	n.members = newMemberState()
+	n.members, n.reach = newMemberState(), reach.NewTracker()
 	n.quarantine = newQuarantineState()
 	n.origins = streamorigin.NewKeeper(s.Name, originFleet{n})
 	n.ledgers = newLedgerState(s.LedgerShards)
@@ -175,6 +175,8 @@
 		n.targetReported(*e.TargetReported)
 	case e.PeerReceived != nil:
 		n.peerReceived(*e.PeerReceived)
+	case e.TargetProbed != nil:
+		n.targetProbed(*e.TargetProbed)
 	case e.HandOverEnded != nil:
 		n.handOverEnded(*e.HandOverEnded)
 	case e.ApplyRequested != nil:
@@ -197,6 +199,7 @@
 	n.tickConfig()
 	n.tickMembers()
 	n.tickMissingTargets()
+	n.tickReach()
 	n.tickLoads()
 	n.tickLimits()
 	n.tickFollowing()
--- /dev/null
+++ b/core/node/partition.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"slices"
+
+	"plantainfield.example/core/errkind"
+	"plantainfield.example/core/event"
+	"plantainfield.example/core/reach"
+)
+
+// targetAnswered records that a target showed a sign of life.
+func (n *Node) targetAnswered(t *target) {
+	for _, serves := range t.Serves {
+		n.reach.Contact(n.now, serves)
+	}
+}
+
+// targetLost records that a target did not answer.
+func (n *Node) targetLost(t *target) {
+	for _, serves := range t.Serves {
+		n.reach.Loss(n.now, serves, t.Name, len(n.members.targetsOf(serves)))
+	}
+}
+
+// tickReach logs changes in which services this instance reaches, and probes
+// targets of those that it may not reach.
+func (n *Node) tickReach() {
+	for _, serves := range n.reach.Update(n.now) {
+		n.logChange("reach changed", "serves", serves, "unreached", n.reach.Unreached(serves), "targets", len(n.members.targetsOf(serves)), "peers_that_reach", len(n.peersThatReach(serves)))
+	}
+	for _, serves := range n.reach.ProbesDue(n.now) {
+		var names []string
+		for _, t := range n.members.targetsOf(serves) {
+			if !t.leaving {
+				names = append(names, t.Name)
+			}
+		}
+		if len(names) > 0 {
+			t := n.members.targets[names[n.reach.ChooseProbe(serves, names, n.rng)]]
+			n.emit(event.Action{ProbeTarget: &event.ProbeTarget{Target: t.Name, Address: t.Address}})
+		}
+	}
+}
+
+// targetProbed handles the result of a probe.
+func (n *Node) targetProbed(e event.TargetProbed) {
+	t := n.members.targets[e.Target]
+	switch {
+	case t == nil || t.Address != e.Address:
+	case e.Reached:
+		n.targetAnswered(t)
+	default:
+		n.targetLost(t)
+	}
+}
+
+// peersThatReach returns the peers that can serve requests for a service, as far as
+// this instance knows.
+func (n *Node) peersThatReach(serves string) []reach.Peer {
+	var peers []reach.Peer
+	for _, name := range n.members.peerNames() {
+		if p := n.members.peers[name]; n.live(p) && p.Address != "" && p.loads.Reaches(n.now, serves) {
+			peers = append(peers, reach.Peer{Name: name, Requests: p.loads.Requests})
+		}
+	}
+	return peers
+}
+
+// handOverUnreached hands a request over to a peer if this instance reaches no
+// target of its service, and reports whether it did.
+func (n *Node) handOverUnreached(r *request) bool {
+	return n.reach.Unreached(r.Serves) && n.handOverToServe(r)
+}
+
+// targetsRefused reports whether targets were tried for a request that is to be
+// refused, none of them got it, and none asked to be left alone.
+func (n *Node) targetsRefused(r *request) bool {
+	return len(r.failedTargets) > 0 && r.attemptsSent == 0 && n.shortestWait(r.Serves) == 0
+}
+
+// handOverToServe hands a request that no target runs over to a peer that may reach
+// a target, and reports whether there is one.
+func (n *Node) handOverToServe(r *request) bool {
+	if r.HandedOver || r.callerGone || r.record != nil || len(r.handedTo) >= reach.MaxHandOvers {
+		return false
+	}
+	peers := slices.DeleteFunc(n.peersThatReach(r.Serves), func(p reach.Peer) bool { return slices.Contains(r.handedTo, p.Name) })
+	name := reach.ChoosePeer(peers, n.rng)
+	if name == "" {
+		return false
+	}
+	n.waiting.remove(r)
+	if r.reserved > 0 {
+		n.book.Account(r.Budget).Settle(r.reserved, 0)
+		r.reserved = 0
+	}
+	r.handedTo = append(r.handedTo, name)
+	r.phase = phaseHandedOver
+	n.emit(event.Action{HandOver: &event.HandOver{
+		Request: r.Request, Peer: name, Address: n.members.peers[name].Address, MaxAttempts: max(1, n.maxAttempts(r)-r.attemptsSent),
+	}})
+	return true
+}
+
+// handOverToServeEnded continues a request that was handed over because this
+// instance reaches no target and that the peer did not run, or whose answer was lost.
+func (n *Node) handOverToServeEnded(r *request, e event.HandOverEnded) {
+	if e.Lost {
+		r.mayHaveRun = true
+		r.attemptsSent++
+		r.lastFailure = errkind.TargetFailed
+		if e.BytesDelivered {
+			r.lastFailure = errkind.StreamCut
+		}
+		n.retryOrRefuse(r, r.Resumable || r.Idempotent && !e.BytesDelivered)
+		return
+	}
+	if r.callerGone {
+		n.finishRefused(r, errkind.CallerGone)
+		return
+	}
+	switch {
+	case n.handOverToServe(r):
+	case n.reach.Unreached(r.Serves):
+		r.retryAfter = e.RetryAfter
+		n.finishRefused(r, errkind.NoTarget)
+	default:
+		n.reserveOrWait(r)
+	}
+}
--- a/core/node/quarantinesync_test.go
+++ b/core/node/quarantinesync_test.go
@@ -10,6 +10,7 @@
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/targethealth"
 )
 
 const suspectBody = "suspect"
@@ -89,7 +90,7 @@
 					break
 				}
 				h.endAttempt(event.AttemptCompleted, true)
-				h.advance(maxAvoidTime)
+				h.advance(targethealth.MaxAvoidTime)
 			}
 			So(ended, ShouldEqual, h.node.configs.index.Document.Policies.Quarantine.MaxTargets)
 			So(refusal(h.arriveWith(suspectBody)).Kind, ShouldEqual, errkind.Quarantined)
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -56,6 +56,9 @@
 	retryAfter time.Duration
 	// failedTargets names the targets that are not tried again.
 	failedTargets []string
+	// handedTo names the peers that the request was handed over to because this
+	// instance reached no target.
+	handedTo []string
 	// notBefore is the end of the retry delay.
 	notBefore time.Duration
 	// queued is set once the request was found to be able to wait for a target.
@@ -142,6 +145,9 @@
 	n.requests.add(r)
 	n.members.arrivals.Add()
 	n.members.follow.lastRequest = n.now
+	if n.handOverUnreached(r) {
+		return
+	}
 	if r.Resumed {
 		n.findOrigin(r)
 		return
@@ -197,8 +203,12 @@
 const otherInstanceRetryAfter = 50 * time.Millisecond
 
 // reserveOrWait reserves the worst-case tokens of the next attempt, or makes
-// the request wait for the ledger.
+// the request wait for the ledger. It hands the request over instead while this
+// instance reaches no target for it.
 func (n *Node) reserveOrWait(r *request) {
+	if n.handOverUnreached(r) {
+		return
+	}
 	if r.Budget == "" {
 		n.afterReserve(r)
 		return
@@ -270,6 +280,7 @@
 func (n *Node) firstToken(attempt string) {
 	if r := n.requests.byAttempt[attempt]; r != nil {
 		r.mayHaveRun, r.firstTokenSeen = true, true
+		n.targetAnswered(r.target)
 		r.target.endPrefill(r)
 		n.sampleFirstToken(r)
 		n.quarantine.parts.RecordAnswer(n.now, r.Serves, r.SharedParts())
@@ -375,11 +386,16 @@
 	if r.attemptsSent == 0 {
 		return true
 	}
-	maxAttempts := int(n.configs.index.Document.Policies.Retries.MaxAttempts)
+	return r.attemptsSent < n.maxAttempts(r) && n.retryBudget.TryWithdraw(n.retryPolicy())
+}
+
+// maxAttempts returns the maximum number of targets that the request may be sent
+// to.
+func (n *Node) maxAttempts(r *request) int {
 	if r.MaxAttempts > 0 {
-		maxAttempts = r.MaxAttempts
+		return r.MaxAttempts
 	}
-	return r.attemptsSent < maxAttempts && n.retryBudget.TryWithdraw(n.retryPolicy())
+	return int(n.configs.index.Document.Policies.Retries.MaxAttempts)
 }
 
 // retryPolicy returns the configured policy with this instance's share of the
--- a/core/node/retries_test.go
+++ b/core/node/retries_test.go
@@ -8,6 +8,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/targethealth"
 )
 
 func TestRetriesWhileTargetsDie(t *testing.T) {
@@ -17,7 +18,7 @@
 			w.addTarget(fmt.Sprintf("t%d", i+3), "m")
 		}
 		w.listInstances()
-		w.runFor(firstReportTimeout)
+		w.runFor(targethealth.FirstReportTimeout)
 		attempts, requests := 0, 0
 		sameTarget := 0
 		lastTarget := map[uint64]string{}
--- a/core/node/servinginstances.go
+++ b/core/node/servinginstances.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/reach"
 	"plantainfield.example/core/serving"
 )
 
@@ -68,18 +69,32 @@
 }
 
 // availableInstances returns the instances that can serve callers, as far as
-// this one knows.
+// this one knows. Those that reach no target at all are left out unless there are
+// no others.
 func (n *Node) availableInstances() []event.Instance {
-	var available []event.Instance
+	var reaching, others []event.Instance
+	services := n.members.servicesWithTargets()
 	if n.ready() && !n.stopping && n.members.self.Address != "" {
-		available = append(available, n.members.self)
+		if reach.None(services, n.reach.Services()) {
+			others = append(others, n.members.self)
+		} else {
+			reaching = append(reaching, n.members.self)
+		}
 	}
 	for _, name := range n.members.peerNames() {
-		if p := n.members.peers[name]; n.live(p) || n.mayServe(p) {
-			available = append(available, p.Instance)
+		p := n.members.peers[name]
+		switch {
+		case !n.live(p) && !n.mayServe(p):
+		case reach.None(services, p.loads.Unreached(n.now)):
+			others = append(others, p.Instance)
+		default:
+			reaching = append(reaching, p.Instance)
 		}
 	}
-	return available
+	if len(reaching) == 0 {
+		return others
+	}
+	return reaching
 }
 
 // currentServing returns the last choice of the instances that serve callers,
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -9,12 +9,9 @@
 	"plantainfield.example/core/limit"
 	"plantainfield.example/core/retry"
 	"plantainfield.example/core/routing"
+	"plantainfield.example/core/targethealth"
 )
 
-// avoidAfterFailure is how long a target is avoided after a failure: it gets new
-// attempts only if no target is usable.
-const avoidAfterFailure = 2 * time.Second
-
 // avoidAfterBusy is how long a target that was full is avoided: a few times the
 // duration of one short request.
 const avoidAfterBusy = 200 * time.Millisecond
@@ -33,12 +30,9 @@
 	// prefillTokens is the number of prompt tokens that this instance has sent
 	// and that the target has yet to prefill.
 	prefillTokens int64
-	// knownSince is when the target became known, lastReportAt when it last
-	// reported, and reportInterval the smoothed time between its reports. The
-	// last two are 0 before the first report.
-	knownSince     time.Duration
-	lastReportAt   time.Duration
-	reportInterval time.Duration
+	// knownSince is when the target became known.
+	knownSince time.Duration
+	reports    targethealth.Reports
 	// leaving is set while the target gets no new attempts because it is leaving.
 	leaving bool
 	// saysLeaving is set once the target itself said in a response that it is
@@ -63,7 +57,7 @@
 	reportsLeaving bool
 	// reportedLiveAt is when the target last reported that it is not leaving.
 	reportedLiveAt time.Duration
-	health         targetHealth
+	health         targethealth.Target
 	// waitUntil is the time until which the target wants no request from this
 	// instance.
 	waitUntil time.Duration
@@ -136,7 +130,9 @@
 // stateKnown reports whether the target's state is known well enough to give it
 // work.
 func (n *Node) stateKnown(t *target) bool {
-	return n.settings.Disabled.TargetReports || t.stateFresh(n.now, n.resumedAt)
+	// An instance that was paused, or has just started, may have missed that the
+	// target is leaving.
+	return n.settings.Disabled.TargetReports || !t.unreachable && t.reports.Fresh(n.now, max(t.knownSince, n.resumedAt))
 }
 
 // concurrencyLimit returns the number of attempts that may be in flight at a
@@ -158,6 +154,7 @@
 	t.inFlight--
 	t.endPrefill(r)
 	if e.TargetLeaving {
+		n.targetAnswered(t)
 		n.announceLeaving(t)
 		return
 	}
@@ -174,10 +171,12 @@
 	}
 	t.unreachable = e.Unreachable
 	if e.Unreachable {
-		t.avoidUntil = n.now + avoidAfterFailure
+		n.targetLost(t)
+		t.avoidUntil = n.now + targethealth.AvoidAfterFailure
 		return
 	}
-	t.recordReport(n.now)
+	n.targetAnswered(t)
+	t.reports.Record(n.now)
 	t.load.ObserveReport(e.Running+e.Waiting, t.inFlight, n.now)
 	t.applyCacheEvents(e, n.now)
 	t.reportsLeaving = e.Leaving
--- a/core/node/transfers.go
+++ b/core/node/transfers.go
@@ -9,6 +9,7 @@
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/ledger"
+	"plantainfield.example/core/peerload"
 )
 
 const (
@@ -145,7 +146,7 @@
 		}
 	}
 	slices.SortStableFunc(peers, func(a, b string) int {
-		return cmp.Or(cmp.Compare(unspent[b], unspent[a]), cmp.Compare(n.workingRank(a), n.workingRank(b)))
+		return cmp.Or(cmp.Compare(unspent[b], unspent[a]), peerload.CompareWorking(n.working(a), n.working(b)))
 	})
 	return peers[:min(len(peers), maxPeersAsked)]
 }
--- a/core/node/world_test.go
+++ b/core/node/world_test.go
@@ -36,8 +36,10 @@
 	// cutPeers drops messages between pairs of instances, "a|b" with a < b,
 	// as pair returns it.
 	cutPeers map[string]bool
-	problems []string
-	handle   uint64
+	// cutTargets names instances whose attempts and probes reach no target.
+	cutTargets map[string]bool
+	problems   []string
+	handle     uint64
 	// loseAnswers drops the platform's results of writes after they took effect.
 	loseAnswers bool
 	// handedOver maps a handed-over request, as its second instance received it,
@@ -135,7 +137,7 @@
 func newWorld(seed uint64) *world {
 	return &world{
 		seed: seed, objects: map[event.ObjectKind]map[string]event.Object{}, nodes: map[string]*instance{},
-		targets: map[string]*fakeTarget{}, answers: map[caller]answer{}, handedOver: map[caller]caller{}, cutPlatform: map[string]bool{}, cutPeers: map[string]bool{},
+		targets: map[string]*fakeTarget{}, answers: map[caller]answer{}, handedOver: map[caller]caller{}, cutPlatform: map[string]bool{}, cutPeers: map[string]bool{}, cutTargets: map[string]bool{},
 		poisonBodies: map[string]bool{}, holders: map[bill.RequestID]map[peerIncarnation]bool{},
 	}
 }
@@ -291,6 +293,10 @@
 		w.answer(in, a.ReplayAnswer.Request, func(an *answer) { an.complete, an.replayed, an.body = true, true, string(a.ReplayAnswer.Answer.Body) })
 	case a.Refuse != nil:
 		w.answer(in, a.Refuse.Request, func(an *answer) { an.refused, an.ran = a.Refuse.Kind, a.Refuse.Ran })
+	case a.ProbeTarget != nil:
+		t := w.targets[a.ProbeTarget.Target]
+		probed := event.TargetProbed{Target: a.ProbeTarget.Target, Address: a.ProbeTarget.Address, Reached: t != nil && !t.dead && !w.cutTargets[in.name]}
+		w.schedule("probe", func() { w.step(in, event.Event{TargetProbed: &probed}) })
 	case a.HandOver != nil:
 		w.handOver(in, *a.HandOver)
 	case a.AnswerApply != nil:
@@ -354,7 +360,7 @@
 	end := event.AttemptEnded{Attempt: d.Attempt, Outcome: event.AttemptNotStarted}
 	t := w.targets[d.Target]
 	crashesBefore := 0
-	if t != nil && !t.dead {
+	if t != nil && !t.dead && !w.cutTargets[in.name] {
 		req := w.answers[caller{in.name, in.incarnation, d.Request}].request
 		used := max(1, d.MaxTokens*int64(1+w.seed%4)/4)
 		t.runs = append(t.runs, targetRun{d.Attempt, req.Customer, req.Key, req.Budget, used})
--- a/core/peerload/peerload.go
+++ b/core/peerload/peerload.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -18,7 +19,7 @@
 	Period = 200 * time.Millisecond
 	// MaxPeers bounds the receivers of one load message. In a larger fleet
 	// most of them are peers with work of their own, which choose targets too,
-	// and OtherPeers are any.
+	// and OtherPeers are any of the rest.
 	MaxPeers   = 12
 	OtherPeers = 3
 	// maxTargets is the number of targets in one message, so that it fits into a
@@ -83,12 +84,16 @@
 // Reaches reports whether the peer has not said lately that it reaches no target of
 // a service.
 func (p *Peer) Reaches(now time.Duration, serves string) bool {
-	return now-p.At >= messageTimeout || !slices.Contains(p.unreached, serves)
+	return !slices.Contains(p.Unreached(now), serves)
 }
 
-// ReachesAll is Reaches for all services.
-func (p *Peer) ReachesAll(now time.Duration) bool {
-	return now-p.At >= messageTimeout || len(p.unreached) == 0
+// Unreached returns the services of which the peer said lately that it reaches no
+// target. The caller must not modify it.
+func (p *Peer) Unreached(now time.Duration) []string {
+	if now-p.At >= messageTimeout {
+		return nil
+	}
+	return p.unreached
 }
 
 // Working reports whether the peer recently had work at targets.
@@ -99,6 +104,33 @@
 // Recent reports whether the peer's rate of requests is known.
 func (p *Peer) Recent(now time.Duration) bool { return p.At > 0 && now-p.At < DemandTimeout }
 
+// CompareWorking orders a peer that recently had work before one that had none.
+func CompareWorking(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// Receivers returns the peers that get the next load message, of peers in random
+// order.
+func Receivers(names []string, working func(name string) bool, rng *rand.Rand) []string {
+	if len(names) <= MaxPeers {
+		return names
+	}
+	slices.SortStableFunc(names, func(a, b string) int { return CompareWorking(working(a), working(b)) })
+	first := 0
+	for first < MaxPeers-OtherPeers && working(names[first]) {
+		first++
+	}
+	rest := names[first:]
+	rng.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	return names[:MaxPeers]
+}
+
 // Sum adds up the work of live peers by target. If there are more of them than a
 // load message reaches, it extrapolates from those with a recent message to all
 // that recently had work.
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -126,7 +126,7 @@
 }
 
 func newGateway(adapter *PlatformAdapter, loop *runtime.Loop, targets *upstream.Client, log *zap.Logger) *gateway.Server {
-	return gateway.New(loop, targets, adapter.Protocol, adapter.Settings, log)
+	return gateway.New(loop, targets, upstream.NewClient(adapter.AttemptIDHeader, nil), adapter.Protocol, adapter.Settings, log)
 }
 
 // hostedParams are the dependencies of the background workers and the
@@ -160,6 +160,9 @@
 			load := loadLog{loop: p.Loop, server: p.Gateway, targets: p.Targets, peers: p.Sender, log: p.Log}
 			workers.Go(func() { load.run(ctx) })
 			workers.Go(func() { p.Datagrams.Run(ctx) })
+			for range probeWorkers {
+				workers.Go(func() { p.Gateway.RunProbes(ctx) })
+			}
 			workers.Go(func() { p.Sender.Run(ctx, p.Loop.PeerMessages()) })
 			for _, task := range p.Adapter.BackgroundTasks(p.Loop, p.Adapter.Self) {
 				workers.Go(func() { task(ctx) })
@@ -177,6 +180,9 @@
 	})
 }
 
+// probeWorkers is the number of targets that are probed at a time.
+const probeWorkers = 4
+
 // callLogPeriod is the time between two log lines with the calls to the
 // platform.
 const callLogPeriod = 10 * time.Second
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -164,6 +164,7 @@
 func (x *exchange) targetRequest(ctx context.Context, d *event.Dispatch) *http.Request {
 	header := http.Header{}
 	copyEndToEndHeaders(header, x.r.Header)
+	header.Del(headerHandedOver)
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // prevents net/http from adding its own
 	}
--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -29,6 +29,9 @@
 	body   []byte
 	// bodyHash identifies repeats of the request.
 	bodyHash string
+	// handedOverAttempts is the number of targets that the request may be sent to
+	// according to the peer that handed it over, or 0 if none did.
+	handedOverAttempts int
 	// arrived is when the request's header had been read.
 	arrived time.Time
 	handle  uint64
@@ -96,6 +99,8 @@
 		}
 		x.server.loop.Post(event.Event{AttemptEnded: &end})
 		return x.handleAttemptEnd(end)
+	case a.HandOver != nil:
+		return x.handOver(ctx, a.HandOver)
 	case a.Refuse != nil:
 		x.refuse(Refusal{Kind: a.Refuse.Kind, Ran: a.Refuse.Ran, RetryAfter: a.Refuse.RetryAfter, BudgetCovers: a.Refuse.BudgetCovers})
 		return true
@@ -140,5 +145,6 @@
 	if x.relay.started || x.abandonKind == errkind.CallerGone {
 		panic(http.ErrAbortHandler)
 	}
+	markRefusal(x.w, x.r, refusal.Kind, refusal.Ran)
 	x.server.protocol.Refuse(x.w, refusal)
 }
--- a/fleet/gateway/protocol.go
+++ b/fleet/gateway/protocol.go
@@ -58,6 +58,17 @@
 	Engine bool
 }
 
+// PeerMetadata is the information sent to a peer in addition to the caller's
+// request.
+type PeerMetadata struct {
+	// TimeLeft is how long the caller will still wait.
+	TimeLeft time.Duration
+	// LastEventID and Resumes are as in RequestMetadata: they also tell of the events
+	// that the caller has got with this request.
+	LastEventID string
+	Resumes     string
+}
+
 // ExecutionStatus says whether a target ran the request, according to the status
 // code and the headers of its response.
 type ExecutionStatus int
@@ -104,6 +115,11 @@
 	ReadMetadata(r *http.Request) (RequestMetadata, error)
 	// SetTargetHeaders replaces the headers that the router sets for targets.
 	SetTargetHeaders(h http.Header, metadata TargetMetadata)
+	// SetPeerHeaders replaces the headers that the router sets for a peer that a
+	// request is handed over to.
+	SetPeerHeaders(h http.Header, metadata PeerMetadata)
+	// ReadRetryAfter reads when a peer asks the caller to come back, or 0.
+	ReadRetryAfter(resp *http.Response) time.Duration
 	// ClassifyResponse determines from the status code and the headers of a
 	// target's response whether the target ran the request.
 	ClassifyResponse(resp *http.Response) ExecutionStatus
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -24,8 +24,12 @@
 
 // Server serves the callers' HTTP requests.
 type Server struct {
-	loop     *runtime.Loop
-	targets  *upstream.Client
+	loop    *runtime.Loop
+	targets *upstream.Client
+	// peers sends requests that are handed over, and peerKey proves to peers that
+	// they come from one.
+	peers    *upstream.Client
+	peerKey  string
 	protocol Protocol
 	limits   settings.Limits
 	log      *zap.Logger
@@ -41,9 +45,9 @@
 	warnings sync.Map
 }
 
-// New returns a Server.
-func New(loop *runtime.Loop, targets *upstream.Client, protocol Protocol, set *settings.Settings, log *zap.Logger) *Server {
-	return &Server{loop: loop, targets: targets, protocol: protocol, limits: set.Limits, log: log, metrics: newMetrics()}
+// New returns a Server. peers sends requests that are handed over to peers.
+func New(loop *runtime.Loop, targets, peers *upstream.Client, protocol Protocol, set *settings.Settings, log *zap.Logger) *Server {
+	return &Server{loop: loop, targets: targets, peers: peers, peerKey: set.PeerKey, protocol: protocol, limits: set.Limits, log: log, metrics: newMetrics()}
 }
 
 // ActiveRequests returns the number of requests in progress.
@@ -101,7 +105,7 @@
 		s.refuseEarly(w, r, kind, "")
 		return
 	}
-	x := &exchange{server: s, w: w, r: r, meta: meta, route: route, index: index, owner: owner, body: body, arrived: arrived}
+	x := &exchange{server: s, w: w, r: r, meta: meta, route: route, index: index, owner: owner, body: body, arrived: arrived, handedOverAttempts: s.handedOverAttempts(r, meta.AttemptID)}
 	x.run()
 }
 
@@ -148,19 +152,23 @@
 func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, kind errkind.Kind, detail string) {
 	s.metrics.refused.WithLabelValues(string(kind)).Inc()
 	s.log.Info("request refused", zap.String("kind", string(kind)), zap.String("host", r.Host), zap.String("path", r.URL.Path), zap.String("detail", detail))
+	markRefusal(w, r, kind, errkind.RanNo)
 	defaults := errkind.Lookup(kind)
 	s.protocol.Refuse(w, Refusal{Kind: kind, Ran: errkind.RanNo, RetryAfter: time.Duration(defaults.RetryAfterSeconds) * time.Second})
 }
 
-// arrival returns the event that passes the request to the core. HandedOver is
-// always set, so the core never hands the request over to a peer. The priority
-// is negated: 0 goes first on a route, the highest value in the core.
+// arrival returns the event that passes the request to the core. Requests are not
+// handed over for lack of tokens, since peers' tokens come here. The priority is
+// negated: 0 goes first on a route, the highest value in the core.
 func (x *exchange) arrival(handle uint64) event.RequestArrived {
 	a := event.RequestArrived{
 		Request: handle, Customer: x.owner.Customer, Key: x.meta.AttemptID, BodyHash: x.bodyHash,
 		Kind: event.KindService, Serves: x.serves,
 		Idempotent: x.route.Repeatable(), Resumable: x.route.Resumable, Priority: -int(x.priority()), Deadline: x.timeout(),
-		MaxAttempts: int(x.route.MaxAttempts), HandedOver: true,
+		MaxAttempts: int(x.route.MaxAttempts), NoTokenHandOver: true, HandedOver: x.handedOverAttempts > 0,
+	}
+	if a.HandedOver {
+		a.MaxAttempts = x.handedOverAttempts
 	}
 	if x.route.Resumable && x.meta.LastEventID != "" {
 		a.Resumed, a.Resumes = true, x.meta.Resumes
--- a/fleet/runtime/loop.go
+++ b/fleet/runtime/loop.go
@@ -20,6 +20,7 @@
 	eventQueueSize    = 4096
 	peerQueueSize     = 1024
 	platformQueueSize = 1024
+	probeQueueSize    = 16
 	actionQueueSize   = 16
 	platformWorkers   = 16
 )
@@ -38,6 +39,7 @@
 	events        chan event.Event
 	platformCalls chan event.PlatformCall
 	peerMessages  chan event.SendPeer
+	targetProbes  chan event.ProbeTarget
 	index         atomic.Pointer[config.Index]
 	// instances is the latest instance list.
 	instances    atomic.Pointer[[]event.Instance]
@@ -80,6 +82,7 @@
 		events:           make(chan event.Event, eventQueueSize),
 		platformCalls:    make(chan event.PlatformCall, platformQueueSize),
 		peerMessages:     make(chan event.SendPeer, peerQueueSize),
+		targetProbes:     make(chan event.ProbeTarget, probeQueueSize),
 		actions:          actionQueues{queues: map[uint64]chan event.Action{}},
 		dumpRequests:     make(chan chan node.Dump),
 		shutdownComplete: make(chan struct{}),
@@ -126,6 +129,10 @@
 // PeerMessages returns the queue of messages to send to peers.
 func (l *Loop) PeerMessages() <-chan event.SendPeer { return l.peerMessages }
 
+// TargetProbes returns the queue of probes of targets. Probes that don't fit into it
+// are dropped; the core asks again.
+func (l *Loop) TargetProbes() <-chan event.ProbeTarget { return l.targetProbes }
+
 // Ended returns a channel that is closed once Run has returned. Events are no
 // longer processed then.
 func (l *Loop) Ended() <-chan struct{} { return l.ended }
@@ -230,6 +237,11 @@
 		default:
 			l.counters.PeerDrops.Add(1)
 		}
+	case a.ProbeTarget != nil:
+		select {
+		case l.targetProbes <- *a.ProbeTarget:
+		default:
+		}
 	case a.AdoptConfig != nil:
 		l.adoptConfig(a.AdoptConfig)
 	case a.FollowPlatform != nil:
--- a/fleet/upstream/upstream.go
+++ b/fleet/upstream/upstream.go
@@ -167,7 +167,7 @@
 }
 
 const (
-	// probeTimeout bounds one connection attempt of Refuses.
+	// probeTimeout bounds one connection attempt of Refuses and Accepts.
 	probeTimeout = 250 * time.Millisecond
 	// defaultSettleTime is how long a new connection must stay open to show that
 	// its target runs: a process that is ending may still accept one.
@@ -198,6 +198,23 @@
 	return false
 }
 
+// Accepts reports whether a new connection to an address can be opened and stays
+// open. It is kept for later requests.
+func (c *Client) Accepts(ctx context.Context, address string) bool {
+	dialCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	pc, err := c.dial(dialCtx, address)
+	if err != nil {
+		return false
+	}
+	if !pc.staysOpen(c.settleTime) {
+		_ = pc.Close()
+		return false
+	}
+	c.putIdle(pc, defaultIdleTimeout)
+	return true
+}
+
 // staysOpen reports whether nothing arrives on a new connection, not even its
 // end, for a time.
 func (pc *conn) staysOpen(d time.Duration) bool {
