--- a/core/node/following_test.go
+++ b/core/node/following_test.go
@@ -87,7 +87,7 @@
 				if in.node.configs.generation() < 7 {
 					outdated++
 				}
-				if !in.node.members.targets["t1"].leaving {
+				if !in.node.members.targets["t1"].Leaving {
 					unaware++
 				}
 			}
--- a/core/node/gossip.go
+++ b/core/node/gossip.go
@@ -60,7 +60,7 @@
 	if t := n.members.targets[k.Name]; t != nil && t.incarnation() == k.Incarnation {
 		switch k.Kind {
 		case event.FactLeaving:
-			t.markLeaving(f.Confirmed)
+			t.Mark(f.Confirmed)
 		case event.FactLimit:
 			n.setLimit(t, f.Limited, f.Limit, f.Confirmed)
 		}
@@ -153,10 +153,10 @@
 	}
 	for _, name := range n.members.targetNames() {
 		t := n.members.targets[name]
-		if t.observedLeaving() {
+		if t.Observed() {
 			n.announceLeaving(t)
 		}
-		t.reinstate(n.now)
+		t.Reinstate(n.now)
 	}
 	for _, name := range n.members.ring(n.settings.Name).MonitoredBy(n.settings.Name) {
 		p := n.members.peers[name]
--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -9,35 +9,10 @@
 	"plantainfield.example/core/routing"
 )
 
-// markLeaving stops new attempts at the target. Attempts in flight continue.
-func (t *target) markLeaving(at time.Duration) {
-	t.leavingSeenAt = max(t.leavingSeenAt, at)
-	t.leaving = true
-}
-
-// observedLeaving reports whether this instance itself currently observes that
-// the target is leaving, from the instance list or from what the target itself
-// says.
-func (t *target) observedLeaving() bool { return t.delisted || t.reportsLeaving || t.saysLeaving }
-
-// reinstate allows new attempts at a target that was leaving. The list must
-// show it as live, and either its own report or its reappearance in the list
-// must confirm that. The last evidence of leaving must be older than the delay
-// with which such updates can arrive.
-func (t *target) reinstate(now time.Duration) {
-	if !t.leaving || t.observedLeaving() || now-t.leavingSeenAt < minLeavingTime {
-		return
-	}
-	reportedLive := t.reportedLiveAt >= t.leavingSeenAt+minLeavingTime
-	if reportedLive || t.relisted {
-		t.leaving, t.relisted = false, false
-	}
-}
-
 // announceLeaving marks a target as leaving on evidence of this instance
 // itself, and records that as a fact for its peers.
 func (n *Node) announceLeaving(t *target) {
-	t.markLeaving(n.now)
+	t.Mark(n.now)
 	n.recordFact(gossip.Key{Kind: event.FactLeaving, Name: t.Name, Incarnation: t.incarnation()}, n.now)
 }
 
@@ -63,30 +38,30 @@
 			}
 		}
 	}
-	t.Instance, t.missing = in, false
+	t.Instance, t.Missing = in, false
 	if in.State == event.StateLeaving {
-		t.delisted = true
+		t.Delisted = true
 		n.announceLeaving(t)
 		return
 	}
-	t.relisted = t.relisted || t.delisted
-	t.delisted = false
+	t.Relisted = t.Relisted || t.Delisted
+	t.Delisted = false
 }
 
 // targetUnlisted handles the absence of a target from the instance list. The
 // target is kept for a while, because an older list may still arrive.
 func (n *Node) targetUnlisted(t *target) {
 	if n.members.platformReconnectedAt > 0 && n.now-n.members.platformReconnectedAt < relistGrace {
-		t.missing = true
+		t.Missing = true
 		return
 	}
-	t.missing = false
-	if !t.delisted {
-		t.delisted = true
+	t.Missing = false
+	if !t.Delisted {
+		t.Delisted = true
 		n.announceLeaving(t)
-		t.unlistedAt = n.now
+		t.UnlistedAt = n.now
 	}
-	if t.inFlight == 0 && n.now-t.unlistedAt >= tombstoneTimeout {
+	if t.inFlight == 0 && n.now-t.UnlistedAt >= tombstoneTimeout {
 		n.targetGone(t)
 		delete(n.members.targets, t.Name)
 		n.members.invalidateTargetCaches()
@@ -106,7 +81,7 @@
 	}
 	n.members.platformReconnectedAt = 0
 	for _, name := range n.members.targetNames() {
-		if t := n.members.targets[name]; t.missing {
+		if t := n.members.targets[name]; t.Missing {
 			n.targetUnlisted(t)
 		}
 	}
--- a/core/node/members_test.go
+++ b/core/node/members_test.go
@@ -12,6 +12,7 @@
 
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/targetleaving"
 )
 
 const (
@@ -212,7 +213,7 @@
 				n := c.w.nodes[first].node
 				n.announceLeaving(n.members.targets["t1"])
 				f.run(leavingBound, idle)
-				So(f.failing("t1", func(t *target) bool { return t.leaving }), ShouldBeEmpty)
+				So(f.failing("t1", func(t *target) bool { return t.Leaving }), ShouldBeEmpty)
 			})
 			Convey("no instance gives callers the address of an instance that has been stopping for 1 s or crashed more than configBound ago", func() {
 				So(f.instancesNaming(last), ShouldHaveLength, size)
@@ -281,29 +282,29 @@
 		})
 		Convey("a target is reinstated when the list and its reports show it as live, but not because of a stale list", func() {
 			w.pending = append(heldBack, w.pending...)
-			leaving := func() bool { return w.nodes["n1"].node.members.targets["t1"].leaving }
+			leaving := func() bool { return w.nodes["n1"].node.members.targets["t1"].Leaving }
 			f.startLeaving("t1")
 			f.run(2*time.Second, idle)
 			w.listInstances()
 			So(leaving(), ShouldBeTrue)
 			delete(f.leftAt, "t1")
-			f.run(minLeavingTime-pollPeriod, idle)
+			f.run(targetleaving.MinTime-pollPeriod, idle)
 			So(leaving(), ShouldBeTrue)
-			f.run(2*minLeavingTime, idle)
+			f.run(2*targetleaving.MinTime, idle)
 			So(leaving(), ShouldBeFalse)
 		})
 		Convey("a target that the list marks as leaving is treated as leaving, whatever its reports say, until the list shows it as live again", func() {
 			w.pending = append(heldBack, w.pending...)
-			leaving := func() bool { return w.nodes["n1"].node.members.targets["t1"].leaving }
+			leaving := func() bool { return w.nodes["n1"].node.members.targets["t1"].Leaving }
 			w.targets["t1"].info.State = event.StateLeaving
 			w.listInstances()
-			f.run(3*minLeavingTime, idle)
+			f.run(3*targetleaving.MinTime, idle)
 			So(leaving(), ShouldBeTrue)
 			w.targets["t1"].info.State = event.StateLive
 			w.listInstances() // this may be an older list that arrives late
 			f.run(pollPeriod, idle)
 			So(leaving(), ShouldBeTrue)
-			f.run(minLeavingTime, idle)
+			f.run(targetleaving.MinTime, idle)
 			So(leaving(), ShouldBeFalse)
 		})
 		Convey("a late report does not reinstate a target that refused a request", func() {
@@ -311,8 +312,8 @@
 			n := w.nodes["n1"].node
 			n.announceLeaving(n.members.targets["t1"])
 			w.listInstances()
-			f.run(minLeavingTime-pollPeriod, idle)
-			So(n.members.targets["t1"].leaving, ShouldBeTrue)
+			f.run(targetleaving.MinTime-pollPeriod, idle)
+			So(n.members.targets["t1"].Leaving, ShouldBeTrue)
 		})
 		Convey("a stopping instance completes its requests, refuses new ones and returns its grant", func() {
 			w.step(w.nodes["n1"], event.Event{ShutdownRequired: &event.ShutdownRequired{}})
--- a/core/node/partition.go
+++ b/core/node/partition.go
@@ -31,7 +31,7 @@
 	for _, serves := range n.reach.ProbesDue(n.now) {
 		var names []string
 		for _, t := range n.members.targetsOf(serves) {
-			if !t.leaving {
+			if !t.Leaving {
 				names = append(names, t.Name)
 			}
 		}
--- a/core/node/servinginstances_test.go
+++ b/core/node/servinginstances_test.go
@@ -165,7 +165,7 @@
 			s.runUntil(s.now + maxSpreadTime)
 			unaware := 0
 			for _, in := range s.nodes {
-				if !in.node.members.targets["t1"].leaving {
+				if !in.node.members.targets["t1"].Leaving {
 					unaware++
 				}
 			}
--- a/core/node/status.go
+++ b/core/node/status.go
@@ -59,12 +59,12 @@
 
 func (n *Node) targetState(t *target) string {
 	switch {
-	case !t.leaving && n.now < t.waitUntil:
+	case !t.Leaving && n.now < t.waitUntil:
 		return "waiting"
-	case !t.leaving && n.now >= t.avoidUntil && t.limit.known:
+	case !t.Leaving && n.now >= t.avoidUntil && t.limit.known:
 		return "limited"
 	}
-	return stateName(t.leaving, n.now >= t.avoidUntil)
+	return stateName(t.Leaving, n.now >= t.avoidUntil)
 }
 
 func stateName(leaving, reachable bool) string {
--- a/core/node/targetnotices.go
+++ b/core/node/targetnotices.go
@@ -37,10 +37,10 @@
 // leavingNoticed handles a target's own statement that it is leaving. It holds
 // until the target starts again, whatever the instance list says.
 func (n *Node) leavingNoticed(t *target) {
-	if !t.saysLeaving {
-		n.logChange("target leaving", "target", t.Name, "listed_as_leaving", t.delisted, "in_flight", t.inFlight)
+	if !t.SaysLeaving {
+		n.logChange("target leaving", "target", t.Name, "listed_as_leaving", t.Delisted, "in_flight", t.inFlight)
 	}
-	t.saysLeaving = true
+	t.SaysLeaving = true
 	n.announceLeaving(t)
 }
 
@@ -92,7 +92,7 @@
 func (n *Node) shortestWait(serves string) time.Duration {
 	shortest := time.Duration(0)
 	for _, t := range n.members.targetsOf(serves) {
-		if wait := t.waitUntil - n.now; wait > 0 && !t.leaving && (shortest == 0 || wait < shortest) {
+		if wait := t.waitUntil - n.now; wait > 0 && !t.Leaving && (shortest == 0 || wait < shortest) {
 			shortest = wait
 		}
 	}
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -10,19 +10,17 @@
 	"plantainfield.example/core/retry"
 	"plantainfield.example/core/routing"
 	"plantainfield.example/core/targethealth"
+	"plantainfield.example/core/targetleaving"
 )
 
 // avoidAfterBusy is how long a target that was full is avoided: a few times the
 // duration of one short request.
 const avoidAfterBusy = 200 * time.Millisecond
 
-// minLeavingTime is how long a target stays leaving after the last evidence. It
-// is longer than the delay of reports and of peers' messages.
-const minLeavingTime = 5 * time.Second
-
 // target is what this instance knows of a target.
 type target struct {
 	event.Instance
+	targetleaving.Evidence
 	limiter  *limit.Limiter
 	load     routing.Load
 	prefixes *routing.Prefixes
@@ -33,31 +31,9 @@
 	// knownSince is when the target became known.
 	knownSince time.Duration
 	reports    targethealth.Reports
-	// leaving is set while the target gets no new attempts because it is leaving.
-	leaving bool
-	// saysLeaving is set once the target itself said in a response that it is
-	// leaving.
-	saysLeaving bool
-	// leavingSeenAt is the time of the last evidence that the target is leaving.
-	leavingSeenAt time.Duration
-	// delisted is set while the instance list marks the target as leaving or
-	// omits it.
-	delisted bool
-	// unlistedAt is when the target disappeared from the instance list.
-	unlistedAt time.Duration
-	// missing is set while the target is absent from the list after the platform
-	// became reachable again, but may still be listed again.
-	missing bool
-	// relisted is set once the list shows the target as live again after it was
-	// delisted.
-	relisted bool
 	// unreachable is set if the last attempt to fetch a report failed.
 	unreachable bool
-	// reportsLeaving is set if the target's last report said that it is leaving.
-	reportsLeaving bool
-	// reportedLiveAt is when the target last reported that it is not leaving.
-	reportedLiveAt time.Duration
-	health         targethealth.Target
+	health      targethealth.Target
 	// waitUntil is the time until which the target wants no request from this
 	// instance.
 	waitUntil time.Duration
@@ -71,7 +47,7 @@
 // usableAsFallback reports whether the target may get attempts if no target is
 // usable.
 func (t *target) usableAsFallback(now time.Duration) bool {
-	return !t.leaving && !t.unreachable && now >= t.waitUntil
+	return !t.Leaving && !t.unreachable && now >= t.waitUntil
 }
 
 // usable reports whether the target may get attempts once it has room.
@@ -179,13 +155,13 @@
 	t.reports.Record(n.now)
 	t.load.ObserveReport(e.Running+e.Waiting, t.inFlight, n.now)
 	t.applyCacheEvents(e, n.now)
-	t.reportsLeaving = e.Leaving
+	t.ReportsLeaving = e.Leaving
 	if e.Leaving {
 		n.announceLeaving(t)
 		return
 	}
-	t.reportedLiveAt = n.now
-	t.reinstate(n.now)
+	t.ReportedLiveAt = n.now
+	t.Reinstate(n.now)
 }
 
 // applyCacheEvents applies the prompt cache events of a target's report.
--- a/core/node/trials.go
+++ b/core/node/trials.go
@@ -77,7 +77,7 @@
 	o.Value, _ = json.Marshal(quarantine.Record{Claim: &claim})
 	n.callPlatform(op, o, func(res event.PlatformResult) {
 		t := n.members.targets[r.trial]
-		if res.Status != event.PlatformOK || t == nil || t.leaving || r.callerGone {
+		if res.Status != event.PlatformOK || t == nil || t.Leaving || r.callerGone {
 			n.trialDenied(r)
 			return
 		}
