Don't blame requests for a partition that refuses connections

A body or prompt part was given up (502) after an instance had been cut from its targets: connections are reset and new ones refused, which looked like the crash of each target that ran the request.

Cause: a target counted as ended if it refuses a connection, whoever asks. Now one of two other targets has to accept one; if neither does, the attempt counts as lost only. The answers also go to core/reach, which so knows of a partition with the first lost connection. Where no other target is usable the old rule holds, unless the service is known to be out of reach.

--- a/core/event/action.go
+++ b/core/event/action.go
@@ -61,6 +61,10 @@
 	// ReportNotice asks for a TargetNotice also if the response says nothing of the
 	// target, because it said something before.
 	ReportNotice bool `json:"reportNotice,omitempty"`
+	// Witnesses are other targets that should accept a connection. If none does, a
+	// target that refuses one has not been shown to have ended: this instance may be
+	// partitioned.
+	Witnesses []ProbeTarget `json:"witnesses,omitempty"`
 }
 
 // CancelAttempt cancels an attempt at its target.
--- a/core/node/partition.go
+++ b/core/node/partition.go
@@ -42,6 +42,27 @@
 	}
 }
 
+// witnessCount is the number of other targets that are asked whether this instance
+// is partitioned.
+const witnessCount = 2
+
+// witnesses returns random other targets that this instance has no reason to avoid.
+func (n *Node) witnesses(t *target) []event.ProbeTarget {
+	names := n.members.targetNames()
+	start := n.rng.IntN(len(names))
+	var chosen []event.ProbeTarget
+	for i := range names {
+		o := n.members.targets[names[(start+i)%len(names)]]
+		if o == t || !o.usable(n.now) {
+			continue
+		}
+		if chosen = append(chosen, event.ProbeTarget{Target: o.Name, Address: o.Address}); len(chosen) == witnessCount {
+			break
+		}
+	}
+	return chosen
+}
+
 // targetProbed handles the result of a probe.
 func (n *Node) targetProbed(e event.TargetProbed) {
 	t := n.members.targets[e.Target]
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -274,6 +274,7 @@
 	n.emit(event.Action{Dispatch: &event.Dispatch{
 		Request: r.Request, Attempt: r.attempt, Stream: r.id.Digest(),
 		Target: t.Name, Address: t.Address, Version: t.Version, MaxTokens: r.reserved, ReportNotice: t.limit.known,
+		Witnesses: n.witnesses(t),
 	}})
 }
 
@@ -314,6 +315,9 @@
 		return
 	}
 	delete(n.requests.byAttempt, e.Attempt)
+	if e.Outcome == event.AttemptCrashed && n.reach.Unreached(r.Serves) {
+		e.Outcome = event.AttemptFailed // the target may as well be out of reach
+	}
 	n.sampleAttemptEnd(r, e)
 	n.releaseTarget(r, e)
 	if !e.Unsent {
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -94,7 +94,7 @@
 	resp, err := x.server.targets.Do(ctx, d.Address, x.targetRequest(ctx, d), x.body)
 	status := 0
 	if err != nil {
-		end.Outcome = x.classifyError(ctx, d.Address, err)
+		end.Outcome = x.classifyError(ctx, d, err)
 		end.Unsent = errors.Is(err, upstream.ErrUnsent)
 	} else {
 		status = resp.StatusCode
@@ -109,15 +109,16 @@
 		switch {
 		case end.Outcome != event.AttemptFailed || body.err == nil:
 		case errors.Is(body.err, errTargetEnded):
-			end.Outcome = event.AttemptCrashed
+			end.Outcome = x.lostOutcome(ctx, d, true)
 		default:
-			end.Outcome = x.classifyLostConnection(ctx, d.Address)
+			end.Outcome = x.classifyLostConnection(ctx, d)
 		}
 	}
 	if end.Outcome == event.AttemptCancelled && x.r.Context().Err() != nil && x.relay.events.count == events {
 		cancelled := time.Now()
 		time.Sleep(cancelledLookDelay)
-		end.TargetEnded, end.Ago = x.targetEnded(ctx, d.Address), time.Since(cancelled)
+		end.TargetEnded = x.lostOutcome(ctx, d, x.targetEnded(ctx, d.Address)) == event.AttemptCrashed
+		end.Ago = time.Since(cancelled)
 	}
 	end.Usage = x.tokenUsage(end)
 	end.BytesDelivered = x.relay.started
@@ -228,10 +229,26 @@
 // classifyLostConnection returns the outcome of an attempt whose connection was
 // lost, before or after the head of the response: a target that has ended
 // refuses a new connection, one that only broke off the response accepts it.
-func (x *exchange) classifyLostConnection(ctx context.Context, address string) event.AttemptOutcome {
-	if x.targetEnded(ctx, address) {
+func (x *exchange) classifyLostConnection(ctx context.Context, d *event.Dispatch) event.AttemptOutcome {
+	return x.lostOutcome(ctx, d, x.targetEnded(ctx, d.Address))
+}
+
+// lostOutcome returns the outcome of an attempt whose connection was lost, given
+// whether its target refuses new ones. That shows that the target has ended only if
+// one of the witnesses accepts a connection, or if there are none.
+func (x *exchange) lostOutcome(ctx context.Context, d *event.Dispatch, refuses bool) event.AttemptOutcome {
+	if !refuses {
+		return event.AttemptFailed
+	}
+	for _, w := range d.Witnesses {
+		if x.server.probe(context.WithoutCancel(ctx), w) {
+			return event.AttemptCrashed
+		}
+	}
+	if len(d.Witnesses) == 0 {
 		return event.AttemptCrashed
 	}
+	x.log.Info("no target accepts a connection", zap.String("target", d.Target), zap.Int("witnesses", len(d.Witnesses)))
 	return event.AttemptFailed
 }
 
@@ -240,7 +257,7 @@
 }
 
 // classifyError returns the outcome of an attempt that got no response.
-func (x *exchange) classifyError(ctx context.Context, address string, err error) event.AttemptOutcome {
+func (x *exchange) classifyError(ctx context.Context, d *event.Dispatch, err error) event.AttemptOutcome {
 	switch {
 	case errors.Is(err, upstream.ErrUnsent):
 		return event.AttemptNotStarted
@@ -249,7 +266,7 @@
 	case errors.Is(err, upstream.ErrResponseMismatch), errors.Is(err, upstream.ErrHeadTooLong):
 		return event.AttemptFailed
 	}
-	return x.classifyLostConnection(ctx, address)
+	return x.classifyLostConnection(ctx, d)
 }
 
 // handleResponse relays a response, or sets the outcome of an attempt that the
--- a/fleet/gateway/handover.go
+++ b/fleet/gateway/handover.go
@@ -155,8 +155,14 @@
 		case <-ctx.Done():
 			return
 		case p := <-s.loop.TargetProbes():
-			reached := s.targets.Accepts(ctx, p.Address)
-			s.loop.Post(event.Event{TargetProbed: &event.TargetProbed{Target: p.Target, Address: p.Address, Reached: reached}})
+			s.probe(ctx, p)
 		}
 	}
 }
+
+// probe tells the core whether a target accepts a connection, and returns it.
+func (s *Server) probe(ctx context.Context, p event.ProbeTarget) bool {
+	reached := s.targets.Accepts(ctx, p.Address)
+	s.loop.Post(event.Event{TargetProbed: &event.TargetProbed{Target: p.Target, Address: p.Address, Reached: reached}})
+	return reached
+}
