Don't take up streams at a lone version after a loss of all instances

Now a version counts as the only one if this instance, or a peer that replies, has watched the targets for as long as streams last (one minute). Otherwise the request is refused at once, as not run. An instance that starts beside others loses nothing, as their word counts; after a loss of all, streams that broke off with it are not taken up for a minute.

TestStreamWithoutRecordGoesOnOnlyAtTheOnlyVersion: the new cases fail without the condition. The old cases now say that their instances have watched the targets for an hour. The case of TestLostQuestions... in which a stream went on because peers knew nothing became two: with the word of a peer that has watched for long it goes on, without it is refused.

--- a/core/node/members.go
+++ b/core/node/members.go
@@ -198,6 +198,7 @@
 		n.members.platformReconnectedAt = n.now
 	}
 	defer n.members.countListed()
+	n.origins.Watch(n.now)
 	n.members.invalidateTargetCaches()
 	listed := make(map[string]bool, len(e.Instances))
 	for _, in := range e.Instances {
--- a/core/node/streamversion_test.go
+++ b/core/node/streamversion_test.go
@@ -288,12 +288,23 @@
 			got := refusal(h.advance(300 * time.Millisecond))
 			So(got.Kind, ShouldEqual, errkind.StreamOriginUnknown)
 		})
-		Convey("it goes on if a peer replies that it knows nothing, and no other version has served", func() {
+		reply := func(sole bool) []event.Action {
+			var actions []event.Action
 			for _, p := range []string{"p1", "p2", "p3"} {
-				h.receive(p, event.PeerMessage{Origin: &streamorigin.Message{Reply: &streamorigin.Reply{Record: streamorigin.Record{Stream: streamorigin.Key("unknown")}}}})
+				record := streamorigin.Record{Stream: streamorigin.Key("unknown"), Origin: streamorigin.Origin{Serves: "app"}}
+				actions = append(actions, h.receive(p, event.PeerMessage{Origin: &streamorigin.Message{Reply: &streamorigin.Reply{Record: record, Sole: sole}}})...)
 			}
+			return actions
+		}
+		Convey("it goes on if a peer replies that it knows nothing, and that no other version has served for long", func() {
+			reply(true)
 			So(h.node.requests.byHandle[h.handle].phase, ShouldEqual, phaseRunning)
 		})
+		Convey("it is refused, as not run, if no peer has watched the targets for long", func() {
+			got := refusal(reply(false))
+			So(got.Kind, ShouldEqual, errkind.StreamOriginUnknown)
+			So(got.Ran, ShouldEqual, errkind.RanNo)
+		})
 		Convey("it ends if its caller leaves meanwhile", func() {
 			So(refusal(h.step(event.Event{CallerGone: &event.CallerGone{Request: h.handle}})).Kind, ShouldEqual, errkind.CallerGone)
 			So(refusal(h.advance(300*time.Millisecond)), ShouldBeNil)
--- a/core/streamorigin/keeper.go
+++ b/core/streamorigin/keeper.go
@@ -29,6 +29,8 @@
 // Request asks a holder for the origin of a stream.
 type Request struct {
 	Stream uint64 `json:"stream"`
+	// Serves is the service whose targets may go on with the stream.
+	Serves string `json:"serves,omitempty"`
 }
 
 // Reply answers a Request.
@@ -36,6 +38,9 @@
 	Record
 	// Known is set if the sender knows the origin.
 	Known bool `json:"known"`
+	// Sole is set if the sender does not know the origin, but has seen targets of
+	// that in the record alone for as long as streams last.
+	Sole bool `json:"sole,omitempty"`
 }
 
 // Keeper records where the streams of an instance begin, and finds out where those
@@ -45,6 +50,9 @@
 	fleet     Fleet
 	table     *Table
 	questions questions
+	// watching is set once the instance knows the targets, since when it has.
+	watching bool
+	since    time.Duration
 }
 
 // NewKeeper returns the keeper of an instance.
@@ -52,6 +60,14 @@
 	return &Keeper{self: self, fleet: fleet, table: NewTable()}
 }
 
+// Watch tells the keeper that the instance has known all targets since a time. Only
+// the first call counts.
+func (k *Keeper) Watch(since time.Duration) {
+	if !k.watching {
+		k.watching, k.since = true, since
+	}
+}
+
 // Began records the origin of a stream with its first event and tells the holders.
 // The attempt is the caller's.
 func (k *Keeper) Began(now time.Duration, attempt string, o Origin) {
@@ -79,7 +95,7 @@
 	}
 	k.questions.ask(now, Answer{Request: request, serves: serves}, stream, peers)
 	for _, peer := range peers {
-		k.fleet.SendOrigin(peer, Message{Request: &Request{stream}})
+		k.fleet.SendOrigin(peer, Message{Request: &Request{stream, serves}})
 	}
 	return Answer{}, false
 }
@@ -91,7 +107,11 @@
 		k.table.Record(now, *m.Record)
 	case m.Request != nil:
 		o, known := k.table.Lookup(m.Request.Stream)
-		k.fleet.SendOrigin(from, Message{Reply: &Reply{Record{m.Request.Stream, o}, known}})
+		sole := false
+		if !known {
+			o, sole = k.sole(now, m.Request.Serves)
+		}
+		k.fleet.SendOrigin(from, Message{Reply: &Reply{Record{m.Request.Stream, o}, known, sole}})
 	case m.Reply != nil:
 		return k.complete(now, k.questions.reply(from, m.Reply))
 	}
@@ -116,18 +136,37 @@
 }
 
 // withoutRecord answers for a stream of which no record is found. It may go on only
-// if all targets have had the same software, as far as an instance knows that is
-// not cut off from its peers.
+// if all targets have had the same software for as long as streams last, as far as
+// an instance knows that is not cut off from its peers. One that has not watched the
+// targets for so long needs the word of a peer that has.
 func (k *Keeper) withoutRecord(now time.Duration, a Answer, connected bool) Answer {
-	for _, version := range k.fleet.TargetVersions(a.serves) {
-		k.table.Served(now, Origin{a.serves, version})
-	}
-	if connected {
-		a.Origin, a.Known = k.table.Only(now, a.serves)
+	o, only := k.only(now, a.serves)
+	if connected && only && (k.established(now) || a.sole == o) {
+		a.Origin, a.Known = o, true
 	}
 	return a
 }
 
+// only returns the one origin that this instance has seen of a service.
+func (k *Keeper) only(now time.Duration, serves string) (Origin, bool) {
+	for _, version := range k.fleet.TargetVersions(serves) {
+		k.table.Served(now, Origin{serves, version})
+	}
+	return k.table.Only(now, serves)
+}
+
+// sole is only for an instance that has watched the targets for long enough.
+func (k *Keeper) sole(now time.Duration, serves string) (Origin, bool) {
+	if !k.established(now) {
+		return Origin{}, false
+	}
+	return k.only(now, serves)
+}
+
+// established reports whether the instance has known the targets for as long as
+// streams last.
+func (k *Keeper) established(now time.Duration) bool { return k.watching && now-k.since >= recordAge }
+
 // peers returns the peers among the first instances that hold a stream's origin.
 func (k *Keeper) peers(stream uint64, count int) []string {
 	return slices.DeleteFunc(Rank(stream, k.fleet.LiveInstances(), count), func(name string) bool { return name == k.self })
--- a/core/streamorigin/questions.go
+++ b/core/streamorigin/questions.go
@@ -27,6 +27,8 @@
 	// Replies is the number of peers that replied.
 	Replies int
 	serves  string
+	// sole is the origin that a peer has seen alone.
+	sole Origin
 }
 
 // questions holds the open questions of one instance.
@@ -46,6 +48,9 @@
 		}
 		x.open = slices.Delete(x.open, i, i+1)
 		x.answer.Replies++
+		if m.Sole {
+			x.answer.sole = m.Origin
+		}
 		if m.Known {
 			x.answer.Origin, x.answer.Known = m.Origin, true
 		}
--- a/core/streamorigin/streamorigin_test.go
+++ b/core/streamorigin/streamorigin_test.go
@@ -32,11 +32,17 @@
 	for i := range size {
 		name := fmt.Sprint("n", i)
 		f.names = append(f.names, name)
-		f.keepers[name] = NewKeeper(name, member{f, name})
+		f.start(name, 0)
 	}
 	return f
 }
 
+// start starts an instance that has watched the targets from a time on.
+func (f *testFleet) start(name string, watching time.Duration) {
+	f.keepers[name] = NewKeeper(name, member{f, name})
+	f.keepers[name].Watch(watching)
+}
+
 // member is the Fleet of one instance.
 type member struct {
 	*testFleet
@@ -136,6 +142,28 @@
 			So(f.find("n1", "unknown").Known, ShouldBeFalse)
 			So(f.find("n1", "").Known, ShouldBeFalse)
 		})
+		Convey("must not after a loss of all instances, whose targets of another version may have left in the meantime", func() {
+			f.versions = []string{"v1.1"}
+			lost := f.now
+			for _, name := range f.names {
+				f.start(name, lost)
+			}
+			for range 4 {
+				So(f.find("n1", "unknown").Known, ShouldBeFalse)
+				So(f.find("n1", "").Known, ShouldBeFalse)
+				f.now += recordAge / 5
+			}
+			f.now = lost + recordAge
+			So(f.find("n1", "unknown").Known, ShouldBeTrue)
+		})
+		Convey("may at an instance that has just started if a peer has seen only that version for long", func() {
+			f.versions = []string{"v1"}
+			f.start("n1", f.now)
+			So(f.find("n1", "unknown").Known, ShouldBeTrue)
+			So(f.find("n1", "").Known, ShouldBeFalse)
+			f.versions = []string{"v1.1"}
+			So(f.find("n1", "unknown").Known, ShouldBeFalse)
+		})
 		Convey("may at the only instance of a fleet", func() {
 			alone := newTestFleet(1)
 			alone.versions = []string{"v1"}
