Keep connections through the silence that a sound target may fall into

A target that is silent for a second or so is sound, but it lost every connection, with all streams on them, after 1.5 s: TCP_USER_TIMEOUT also ends the keep-alive probes, whatever their count, and the time counts from the last byte, which may be a pause between events earlier. Now 2 s, which callers wait for the next event at least; probes and unacknowledged data end a connection at the same moment.

Shown by the options of a real connection only: on loopback a silent process still acknowledges. TestConnectionsOutlastASilentTarget failed before (1.5 s instead of 1.8 s or more).

--- a/fleet/upstream/socket.go
+++ b/fleet/upstream/socket.go
@@ -7,14 +7,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// ackTimeoutMillis is how long sent data may remain unacknowledged: many round
-// trips within a region, and well below the time after which callers give up on
-// a silent stream.
-const ackTimeoutMillis = 1500
+// ackTimeoutMillis is how long sent data may remain unacknowledged. It is longer
+// than the silence that sound targets may fall into, and not longer than callers
+// wait for the next event of a stream. On Linux it also decides when keep-alive
+// probes give up, whatever probeCount says.
+const ackTimeoutMillis = 2000
 
 // TCP keep-alive probes: the first after probeIdleSeconds of silence, then one
-// every probeSeconds. The connection is closed after probeCount unanswered
-// probes.
+// every probeSeconds.
 const (
 	probeIdleSeconds = 1
 	probeSeconds     = 1
--- a/fleet/upstream/upstream_test.go
+++ b/fleet/upstream/upstream_test.go
@@ -384,3 +384,35 @@
 		t.Cleanup(func() { _ = c.Close() })
 	}
 }
+
+func TestConnectionsOutlastASilentTarget(t *testing.T) {
+	// With TCP_USER_TIMEOUT set, Linux closes a connection at the first keep-alive probe after that time without a byte.
+	const (
+		allowedSilence = time.Second + 500*time.Millisecond
+		eventPause     = 300 * time.Millisecond
+		callerPatience = 2 * time.Second
+	)
+	Convey("A connection outlasts the silence that targets may fall into after a pause, and ends before callers give up", t, func() {
+		address, _ := newScriptedTarget(t, func(_ int64, c net.Conn, _ *bufio.Reader) { _, _ = io.Copy(io.Discard, c) })
+		conn, err := (&net.Dialer{KeepAlive: -1, Control: SetSocketOptions}).Dial("tcp", address)
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		raw, err := conn.(*net.TCPConn).SyscallConn()
+		So(err, ShouldBeNil)
+		option := func(name int) (value int) {
+			So(raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) }), ShouldBeNil)
+			So(err, ShouldBeNil)
+			return value
+		}
+		userTimeout := time.Duration(option(unix.TCP_USER_TIMEOUT)) * time.Millisecond
+		So(userTimeout, ShouldBeGreaterThanOrEqualTo, allowedSilence+eventPause)
+		So(userTimeout, ShouldBeLessThanOrEqualTo, callerPatience)
+		idle := time.Duration(option(unix.TCP_KEEPIDLE)) * time.Second
+		interval := time.Duration(option(unix.TCP_KEEPINTVL)) * time.Second
+		closed := idle
+		for closed < userTimeout {
+			closed += interval
+		}
+		So(closed, ShouldBeBetweenOrEqual, allowedSilence+eventPause, callerPatience)
+	})
+}
