Send brittle targets no more than they run at once

Targets that say Server-Brittle fall over if they have to turn too many requests away in a second, and may let fewer wait than before.

Cause: an instance sends until targets turn it away, 200 ms apart, and all instances do so at once. While a service is brittle, the slots of a target are divided among the instances that serve callers, by rendezvous hash (core/brittle); what exceeds them waits at its instance or is refused there. A brittle target that turned a request away is avoided for a second. The statement counts for the whole service, for 5 s after the last answer.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -164,6 +164,9 @@
 	// a second that it takes from all instances together.
 	Limited bool    `json:"limited,omitempty"`
 	Limit   float64 `json:"limit,omitempty"`
+	// Brittle is set if the target falls over if it has to turn too many requests
+	// away.
+	Brittle bool `json:"brittle,omitempty"`
 	// LimitUnusable is set if the target named a limit that can't be used: it is
 	// none, but does not end an earlier one either.
 	LimitUnusable bool `json:"limitUnusable,omitempty"`
@@ -321,6 +324,8 @@
 	// it distinguishes two targets that ran under one name one after the other.
 	// 0 if unknown.
 	StartMillis int64 `json:"born,omitempty"`
+	// Slots is the number of requests that a target runs at once; 0 if unknown.
+	Slots int64 `json:"slots,omitempty"`
 	// Version is the version of a target's software, or empty. Versions have no
 	// order.
 	Version string `json:"version,omitempty"`
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"plantainfield.example/core/bill"
+	"plantainfield.example/core/brittle"
 	"plantainfield.example/core/budget"
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/event"
@@ -99,6 +100,7 @@
 	requests requestTable
 	waiting  dispatchState
 	health   targethealth.Services
+	brittle  brittle.Services
 
 	stopping bool
 	// refuseFrom is the time from which a stopping instance refuses new requests.
@@ -117,6 +119,7 @@
 		retryBudget: retry.NewBudget(),
 		requests:    newRequestTable(),
 		health:      targethealth.Services{},
+		brittle:     brittle.Services{},
 	}
 	n.waiting = dispatchState{queues: map[string]*targetQueue{}}
 	n.members, n.reach = newMemberState(), reach.NewTracker()
--- a/core/node/targetnotices.go
+++ b/core/node/targetnotices.go
@@ -26,6 +26,9 @@
 	if e.Leaving {
 		n.leavingNoticed(t)
 	}
+	if e.Brittle {
+		n.brittleNoticed(t)
+	}
 	if e.Wait > 0 {
 		n.waitNoticed(t, e.Wait)
 	}
@@ -44,6 +47,16 @@
 	n.announceLeaving(t)
 }
 
+// brittleNoticed handles a target's statement that the targets of its service are
+// brittle.
+func (n *Node) brittleNoticed(t *target) {
+	for _, serves := range t.Serves {
+		if n.brittle.Noticed(n.now, serves) {
+			n.logChange("targets brittle", "serves", serves, "target", t.Name, "slots", t.Slots, "own_slots", n.concurrencyLimit(t))
+		}
+	}
+}
+
 // waitNoticed handles a target's request to send it nothing for a time. It concerns
 // this instance only.
 func (n *Node) waitNoticed(t *target, wait time.Duration) {
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"plantainfield.example/core/brittle"
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/limit"
@@ -13,10 +14,6 @@
 	"plantainfield.example/core/targetleaving"
 )
 
-// avoidAfterBusy is how long a target that was full is avoided: a few times the
-// duration of one short request.
-const avoidAfterBusy = 200 * time.Millisecond
-
 // target is what this instance knows of a target.
 type target struct {
 	event.Instance
@@ -37,6 +34,8 @@
 	// waitUntil is the time until which the target wants no request from this
 	// instance.
 	waitUntil time.Duration
+	// brittleShare is this instance's share of the slots while the target is brittle.
+	brittleShare brittle.Share
 	// limit is the limit on the requests of all instances that the target names.
 	limit statedLimit
 	// avoidUntil is the time before which the target is avoided, because it
@@ -120,6 +119,10 @@
 		if class := n.configs.index.TargetClass(service); class != nil && class.MaxConnections > 0 {
 			limit = min(limit, int(max(1, class.MaxConnections/n.fleetSize())))
 		}
+		if n.brittle.Active(n.now, service) && t.Slots > 0 {
+			serving := n.currentServing()
+			limit = min(limit, t.brittleShare.Slots(int(t.Slots), t.Name, n.settings.Name, serving.names, serving.at))
+		}
 	}
 	return limit
 }
@@ -135,7 +138,7 @@
 		return
 	}
 	if e.TargetBusy {
-		t.avoidUntil = n.now + avoidAfterBusy
+		t.avoidUntil = n.now + n.brittle.BusyTime(n.now, r.Serves)
 	}
 	n.updateHealth(r, e)
 }
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -155,7 +155,7 @@
 		return
 	}
 	x.server.loop.Post(event.Event{TargetNotice: &event.TargetNotice{
-		Target: d.Target, Address: d.Address, Wait: notice.Wait, Leaving: notice.Leaving, Limited: notice.Limited, Limit: notice.Limit,
+		Target: d.Target, Address: d.Address, Wait: notice.Wait, Leaving: notice.Leaving, Brittle: notice.Brittle, Limited: notice.Limited, Limit: notice.Limit,
 		LimitUnusable: notice.LimitUnusable,
 	}})
 }
--- a/fleet/gateway/metrics.go
+++ b/fleet/gateway/metrics.go
@@ -53,7 +53,7 @@
 }
 
 func (m *metrics) countNotice(notice TargetNotice, err error) {
-	for name, given := range map[string]bool{"wait": notice.Wait > 0, "leaving": notice.Leaving, "limit": notice.Limited, "unusable": err != nil} {
+	for name, given := range map[string]bool{"wait": notice.Wait > 0, "leaving": notice.Leaving, "brittle": notice.Brittle, "limit": notice.Limited, "unusable": err != nil} {
 		if given {
 			m.notices.WithLabelValues(name).Inc()
 		}
--- a/fleet/gateway/protocol.go
+++ b/fleet/gateway/protocol.go
@@ -91,6 +91,9 @@
 	Wait time.Duration
 	// Leaving is set if the target is leaving: it wants no new requests.
 	Leaving bool
+	// Brittle is set if the target falls over if it has to turn too many requests
+	// away.
+	Brittle bool
 	// Limited is set if the target names a limit: Limit is the number of requests
 	// a second that it takes from all instances together.
 	Limited bool
