Read what a target answers just after its caller has left

Cause: the rest stands in the head of the 503. When the request's caller left or its deadline passed before the head came, the connection was closed at once, and the instance never learned of the rest. It then tried the target again every 200 ms.

Now the head is waited for up to 100 ms longer (upstream.HeadGrace); the rest of a response is still cut at once. An attempt that the target turned away is also reported as not run then, whatever became of its caller.

--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -120,6 +120,9 @@
 		end.TargetEnded = x.lostOutcome(ctx, d, x.targetEnded(ctx, d.Address)) == event.AttemptCrashed
 		end.Ago = time.Since(cancelled)
 	}
+	if end.Outcome == event.AttemptCancelled && err != nil {
+		end.Ago += upstream.HeadGrace
+	}
 	end.Usage = x.tokenUsage(end)
 	end.BytesDelivered = x.relay.started
 	x.log.Info("attempt ended", zap.String("target", d.Target), zap.String("outcome", string(end.Outcome)), zap.Int("status", status),
--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -94,7 +94,7 @@
 	switch {
 	case a.Dispatch != nil:
 		end := x.attempt(ctx, a.Dispatch)
-		if end.Unsent && ctx.Err() != nil {
+		if end.Outcome == event.AttemptNotStarted && ctx.Err() != nil {
 			x.abandon(ctx) // before the core tries another target
 		}
 		x.server.loop.Post(event.Event{AttemptEnded: &end})
--- a/fleet/upstream/exchange.go
+++ b/fleet/upstream/exchange.go
@@ -23,15 +23,45 @@
 	// bodyWriteResult receives the result of writing a body in the background.
 	// It is nil if the body was written together with the header.
 	bodyWriteResult chan error
+	// headRead is set once the head of the response is read, and interrupted once
+	// the request's context has ended. They are guarded by mu.
+	mu                    sync.Mutex
+	headRead, interrupted bool
 	// once makes only the first call of closeConnection or release take effect.
 	once sync.Once
 	// idleTimeout is how long the connection may be idle and still be reused.
 	idleTimeout time.Duration
 }
 
-// interrupt ends pending reads and writes. It may be called concurrently with
-// them.
-func (x *exchange) interrupt() { _ = x.conn.SetDeadline(time.Unix(1, 0)) }
+// HeadGrace is how long the head of a response is waited for after the request's
+// context has ended: the target may say in it that it did not run the request, or
+// when it wants the next one. It is short against the time after which a target's
+// work for a caller that has left is wasted.
+const HeadGrace = 100 * time.Millisecond
+
+// interrupt ends pending reads and writes, after HeadGrace if the head of the
+// response is not read yet. It may be called concurrently with them.
+func (x *exchange) interrupt() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.interrupted = true
+	deadline := time.Unix(1, 0)
+	if !x.headRead {
+		deadline = time.Now().Add(HeadGrace)
+	}
+	_ = x.conn.SetDeadline(deadline)
+}
+
+// endHead makes an interruption that comes from now on, or has come, take effect at
+// once.
+func (x *exchange) endHead() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.headRead = true
+	if x.interrupted {
+		_ = x.conn.SetDeadline(time.Unix(1, 0))
+	}
+}
 
 // roundTrip writes the request and reads the header of its response.
 func (x *exchange) roundTrip(req *http.Request, body []byte) (*http.Response, error) {
--- a/fleet/upstream/upstream.go
+++ b/fleet/upstream/upstream.go
@@ -120,7 +120,7 @@
 
 // Do sends a request and returns its response. The caller must close the
 // response body. If ctx ends, the connection is closed, which cancels the
-// request.
+// request; a head that arrives until HeadGrace later is returned nevertheless.
 func (c *Client) Do(ctx context.Context, address string, req *http.Request, body []byte) (*http.Response, error) {
 	pc, err := c.connection(ctx, address)
 	if err != nil {
@@ -129,6 +129,7 @@
 	x := &exchange{client: c, conn: pc}
 	x.stopCancelWatch = context.AfterFunc(ctx, x.interrupt)
 	resp, err := x.roundTrip(req, body)
+	x.endHead()
 	if err != nil {
 		x.closeConnection()
 		if ctx.Err() != nil {
