Keep the rest that a target asked for when its entry changes

Cause: the rest is kept in the record of the target, which is made anew when the entry shows another version or start at the same address; the target was tried again at once and then every 200 ms. The new record inherits the rest. A target that has really started again waits for the end of a rest that it knows nothing of, seconds at most.

--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -25,10 +25,12 @@
 		in.StartMillis, in.Version = t.StartMillis, t.Version
 	}
 	if t == nil || t.Address != in.Address || t.StartMillis != in.StartMillis || t.Version != in.Version {
-		if t != nil {
-			n.targetGone(t)
-		}
+		replaced := t
 		t = &target{Instance: in, knownSince: n.now, limiter: limit.New(), prefixes: routing.NewPrefixes()}
+		if replaced != nil {
+			n.targetGone(replaced)
+			t.inheritWait(replaced, n)
+		}
 		n.members.targets[in.Name] = t
 		n.members.invalidateTargetCaches()
 		for _, kind := range []event.FactKind{event.FactLeaving, event.FactLimit} {
--- a/core/node/targetnotices.go
+++ b/core/node/targetnotices.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/retry"
 )
 
 // incarnation identifies one start of the target, as far as the instance list
@@ -66,6 +67,15 @@
 	t.waitUntil = max(t.waitUntil, n.now+wait)
 }
 
+// inheritWait keeps the wait that a target asked for when its record is replaced: the
+// one at its address may still be the same.
+func (t *target) inheritWait(replaced *target, n *Node) {
+	if t.Address == replaced.Address && n.now < replaced.waitUntil {
+		t.waitUntil = replaced.waitUntil
+		n.logChange("target replaced while it waits", "target", t.Name, "for", t.waitUntil-n.now, "version", t.Version, "start", t.StartMillis)
+	}
+}
+
 // usableTargets counts the other targets of the services of a target that may get
 // attempts.
 func (n *Node) usableTargets(t *target) int {
@@ -85,7 +95,7 @@
 // of that kind.
 func (n *Node) noticedRetryAfter(serves string) time.Duration {
 	if wait := n.shortestWait(serves); wait > 0 {
-		return wait + n.randomBelow(max(minWaitSpread, wait/waitSpread))
+		return retry.AfterWait(wait, n.rng)
 	}
 	if n.limitedElsewhere(serves) {
 		return n.limitedRetryAfter(serves)
@@ -93,13 +103,6 @@
 	return 0
 }
 
-const (
-	// minWaitSpread and waitSpread, a divisor of the wait, bound the random time
-	// over which callers return after targets have waited.
-	minWaitSpread = 500 * time.Millisecond
-	waitSpread    = 4
-)
-
 // shortestWait returns the time until a target of a service takes requests again,
 // or 0 if none waits.
 func (n *Node) shortestWait(serves string) time.Duration {
--- a/core/node/targetnotices_test.go
+++ b/core/node/targetnotices_test.go
@@ -8,6 +8,7 @@
 
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/retry"
 	"plantainfield.example/core/gossip"
 )
 
@@ -137,7 +138,7 @@
 				refused := refusal(h.arrive(h.handle, 0))
 				So(refused, ShouldNotBeNil)
 				So(refused.Ran, ShouldEqual, errkind.RanNo)
-				So(refused.RetryAfter, ShouldBeBetweenOrEqual, 2*time.Second, 2*time.Second+minWaitSpread)
+				So(refused.RetryAfter, ShouldBeBetweenOrEqual, 2*time.Second, 2*time.Second+retry.MinWaitSpread)
 				seen[refused.RetryAfter] = true
 			}
 			So(len(seen), ShouldBeGreaterThan, 10)
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -72,3 +72,16 @@
 	d := min(base<<min(n-1, 10), maxDelay)
 	return d/2 + time.Duration(rng.Int64N(int64(d/2)+1))
 }
+
+const (
+	// MinWaitSpread and waitSpread, a divisor of the wait, bound the random time
+	// over which callers return after targets have waited.
+	MinWaitSpread = 500 * time.Millisecond
+	waitSpread    = 4
+)
+
+// AfterWait returns when a caller may come back if all targets want no requests for
+// a time: some time later, so that callers don't return together.
+func AfterWait(wait time.Duration, rng *rand.Rand) time.Duration {
+	return wait + time.Duration(rng.Int64N(int64(max(MinWaitSpread, wait/waitSpread))))
+}
