--- a/core/node/targetnotices_test.go
+++ b/core/node/targetnotices_test.go
@@ -8,8 +8,8 @@
 
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
-	"plantainfield.example/core/retry"
 	"plantainfield.example/core/gossip"
+	"plantainfield.example/core/retry"
 )
 
 // startedAt returns the entry of a target that started at a Unix time in
