--- a/core/event/action.go
+++ b/core/event/action.go
@@ -170,12 +170,15 @@
 
 // Status is the state of the fleet as known to one instance.
 type Status struct {
-	Instance   string           `json:"instance"`
-	Generation uint64           `json:"generation"`
-	Stopping   bool             `json:"stopping"`
-	Instances  []InstanceStatus `json:"instances"`
-	Targets    []TargetStatus   `json:"targets"`
-	Budgets    []BudgetStatus   `json:"budgets"`
+	Instance   string `json:"instance"`
+	Generation uint64 `json:"generation"`
+	Stopping   bool   `json:"stopping"`
+	// Unreached are the models and services of which this instance reaches no
+	// target. Its peers serve requests for them.
+	Unreached []string         `json:"unreached,omitempty"`
+	Instances []InstanceStatus `json:"instances"`
+	Targets   []TargetStatus   `json:"targets"`
+	Budgets   []BudgetStatus   `json:"budgets"`
 }
 
 // InstanceStatus is the state of one instance of the system.
--- a/core/node/status.go
+++ b/core/node/status.go
@@ -34,7 +34,7 @@
 func (n *Node) status(budgets map[string]*ledger.Budget) event.Status {
 	// Returns the status of the fleet as this instance knows it, with the given
 	// ledger entries of the budgets.
-	st := event.Status{Instance: n.settings.Name, Generation: n.configs.generation(), Stopping: n.stopping}
+	st := event.Status{Instance: n.settings.Name, Generation: n.configs.generation(), Stopping: n.stopping, Unreached: n.reach.Services()}
 	st.Instances = append(st.Instances, event.InstanceStatus{
 		Name: n.settings.Name, DataCentre: n.settings.DataCentre, Generation: st.Generation, State: stateName(n.stopping, true),
 	})
--- a/fleet/cmd/plantainfield/commands.go
+++ b/fleet/cmd/plantainfield/commands.go
@@ -158,7 +158,11 @@
 }
 
 func printStatus(s *event.Status) {
-	fmt.Printf("generation %d in force on %s\n\n", s.Generation, s.Instance)
+	fmt.Printf("generation %d in force on %s\n", s.Generation, s.Instance)
+	if len(s.Unreached) > 0 {
+		fmt.Printf("%s reaches no target of: %s\n", s.Instance, strings.Join(s.Unreached, ", "))
+	}
+	fmt.Println()
 	printTable("INSTANCE\tDATA CENTRE\tGENERATION\tSTATE", len(s.Instances), func(w io.Writer, i int) {
 		in := s.Instances[i]
 		fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", in.Name, in.DataCentre, in.Generation, in.State)
