--- a/core/node/dispatch.go
+++ b/core/node/dispatch.go
@@ -87,7 +87,7 @@
 				n.dispatch(r, target)
 			}
 		case kind != errkind.Overloaded:
-			if !n.targetsRefused(r) || !n.handOverToServe(r) {
+			if !n.targetsRefused(r) || !n.handOverToPeer(r) {
 				n.finishRefused(r, kind)
 			}
 		case len(r.failedTargets) == 0 && r.origin == nil:
--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -96,7 +96,7 @@
 	case !e.Refused && !e.Lost:
 		n.requests.remove(r)
 	case len(r.handedTo) > 0:
-		n.handOverToServeEnded(r, e)
+		n.peerHandOverEnded(r, e)
 	case r.callerGone:
 		n.finishRefused(r, errkind.CallerGone)
 	case n.tryReserve(r):
--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -29,7 +29,7 @@
 		t = &target{Instance: in, knownSince: n.now, limiter: limit.New(), prefixes: routing.NewPrefixes()}
 		if replaced != nil {
 			n.targetGone(replaced)
-			t.inheritWait(replaced, n)
+			n.inheritWait(t, replaced)
 		}
 		n.members.targets[in.Name] = t
 		n.members.invalidateTargetCaches()
--- a/core/node/partition.go
+++ b/core/node/partition.go
@@ -90,7 +90,7 @@
 // handOverUnreached hands a request over to a peer if this instance reaches no
 // target of its service, and reports whether it did.
 func (n *Node) handOverUnreached(r *request) bool {
-	return n.reach.Unreached(r.Serves) && n.handOverToServe(r)
+	return n.reach.Unreached(r.Serves) && n.handOverToPeer(r)
 }
 
 // targetsRefused reports whether targets were tried for a request that is to be
@@ -99,9 +99,9 @@
 	return len(r.failedTargets) > 0 && r.attemptsSent == 0 && n.shortestWait(r.Serves) == 0
 }
 
-// handOverToServe hands a request that no target runs over to a peer that may reach
-// a target, and reports whether there is one.
-func (n *Node) handOverToServe(r *request) bool {
+// handOverToPeer hands a request that no target runs over to a peer that may reach
+// a target of its service, and reports whether there is one.
+func (n *Node) handOverToPeer(r *request) bool {
 	if r.HandedOver || r.callerGone || r.record != nil || len(r.handedTo) >= reach.MaxHandOvers {
 		return false
 	}
@@ -123,9 +123,9 @@
 	return true
 }
 
-// handOverToServeEnded continues a request that was handed over because this
-// instance reaches no target and that the peer did not run, or whose answer was lost.
-func (n *Node) handOverToServeEnded(r *request, e event.HandOverEnded) {
+// peerHandOverEnded continues a request that was handed over by handOverToPeer and
+// that the peer did not run, or whose answer was lost.
+func (n *Node) peerHandOverEnded(r *request, e event.HandOverEnded) {
 	if e.Lost {
 		r.mayHaveRun = true
 		r.attemptsSent++
@@ -141,7 +141,7 @@
 		return
 	}
 	switch {
-	case n.handOverToServe(r):
+	case n.handOverToPeer(r):
 	case n.reach.Unreached(r.Serves):
 		r.retryAfter = e.RetryAfter
 		n.finishRefused(r, errkind.NoTarget)
--- a/core/node/targetnotices.go
+++ b/core/node/targetnotices.go
@@ -69,7 +69,7 @@
 
 // inheritWait keeps the wait that a target asked for when its record is replaced: the
 // one at its address may still be the same.
-func (t *target) inheritWait(replaced *target, n *Node) {
+func (n *Node) inheritWait(t, replaced *target) {
 	if t.Address == replaced.Address && n.now < replaced.waitUntil {
 		t.waitUntil = replaced.waitUntil
 		n.logChange("target replaced while it waits", "target", t.Name, "for", t.waitUntil-n.now, "version", t.Version, "start", t.StartMillis)
