Don't pass on 'not run' from a peer if an earlier attempt may have run

A request that may be repeated can be handed over after its first attempt was lost. A peer's 503 says that the peer did not run it, but callers would have read it as a word on the whole request. It is answered as perhaps run now (502).

--- a/core/event/action.go
+++ b/core/event/action.go
@@ -105,6 +105,8 @@
 	// MaxAttempts is the number of targets that the peer may send the request to,
 	// or 0 for the policy's value.
 	MaxAttempts int `json:"maxAttempts,omitempty"`
+	// MayHaveRun is set if an earlier attempt of the request may have run.
+	MayHaveRun bool `json:"mayHaveRun,omitempty"`
 }
 
 // ProbeTarget asks whether a new connection to a target can be opened. The driver
--- a/core/node/partition.go
+++ b/core/node/partition.go
@@ -118,7 +118,7 @@
 	r.handedTo = append(r.handedTo, name)
 	r.phase = phaseHandedOver
 	n.emit(event.Action{HandOver: &event.HandOver{
-		Request: r.Request, Peer: name, Address: n.members.peers[name].Address, MaxAttempts: max(1, n.maxAttempts(r)-r.attemptsSent),
+		Request: r.Request, Peer: name, Address: n.members.peers[name].Address, MaxAttempts: max(1, n.maxAttempts(r)-r.attemptsSent), MayHaveRun: r.mayHaveRun,
 	}})
 	return true
 }
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -186,6 +186,12 @@
 // MaxHandOvers is the number of peers that a request is handed over to at most.
 const MaxHandOvers = 3
 
+// PassOnRefusal reports whether a peer's refusal may be passed on as it is: that it did
+// not run the request says nothing of what was sent before the hand-over.
+func PassOnRefusal(ran errkind.Ran, mayHaveRun bool) bool {
+	return ran != errkind.RanNo || !mayHaveRun
+}
+
 // OtherPeerMayServe reports whether a request that a peer refused without running
 // it may be served by another: the reason is the state of that peer, and not that
 // of the request, its budget or the targets.
--- a/fleet/gateway/handover.go
+++ b/fleet/gateway/handover.go
@@ -70,7 +70,7 @@
 	case err != nil:
 		end.Lost, cancelled = true, ctx.Err() != nil
 	default:
-		cancelled = x.relayPeerResponse(ctx, resp, &end)
+		cancelled = x.relayPeerResponse(ctx, resp, h, &end)
 		_ = resp.Body.Close()
 	}
 	end.BytesDelivered = x.relay.started
@@ -112,7 +112,7 @@
 // relayPeerResponse relays a peer's response, unless the peer refused the request
 // without running it and another peer may serve it. It reports whether the request
 // ended in the meantime.
-func (x *exchange) relayPeerResponse(ctx context.Context, resp *http.Response, end *event.HandOverEnded) (cancelled bool) {
+func (x *exchange) relayPeerResponse(ctx context.Context, resp *http.Response, h *event.HandOver, end *event.HandOverEnded) (cancelled bool) {
 	if mark := resp.Header.Get(headerRefused); mark != "" {
 		kind, ran, _ := strings.Cut(mark, ";")
 		end.Kind = errkind.Kind(kind)
@@ -123,6 +123,10 @@
 			_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes))
 			return false
 		}
+		if !reach.PassOnRefusal(errkind.Ran(ran), h.MayHaveRun) {
+			x.refuse(Refusal{Kind: end.Kind, Ran: errkind.RanUnknown, RetryAfter: x.server.protocol.ReadRetryAfter(resp)})
+			return false
+		}
 		resp.Header.Del(headerRefused)
 	}
 	var attempt event.AttemptEnded
