--- a/Makefile
+++ b/Makefile
@@ -37,9 +37,11 @@
 KNOWN_RED = $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\) *|.*/\1/p' KNOWN-RED.txt | paste -sd'|')
 SKIP      = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
+# Ends a test program that hangs; no test is measured against it.
+TEST_TIMEOUT ?= 20m
 test: build
 	$(GO) test $(SKIP) $(filter-out $(PROPERTY_PACKAGES),$(shell $(GO) list $(PACKAGES)))
-	$(GO) test $(SKIP) $(PROPERTY_PACKAGES) -rapid.seed=$(RAPID_SEED) -rapid.checks=400 -rapid.steps=100
+	$(GO) test $(SKIP) $(PROPERTY_PACKAGES) -rapid.seed=$(RAPID_SEED) -rapid.checks=400 -rapid.steps=100 -timeout $(TEST_TIMEOUT)
 
 # Runs the property tests with random seeds; rapid prints the seed of a failure.
 soak: build
