--- a/fleet/cmd/plantainfieldd/hosted.go
+++ b/fleet/cmd/plantainfieldd/hosted.go
@@ -69,5 +69,5 @@
 	encoder := zap.NewProductionEncoderConfig()
 	encoder.TimeKey, encoder.EncodeTime = "time", timeEncoder
 	encoder.EncodeDuration = zapcore.StringDurationEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), logring.New(os.Stdout), zapcore.InfoLevel))
+	return zap.New(logring.NewCore(zapcore.NewJSONEncoder(encoder), logring.New(os.Stdout), zapcore.InfoLevel))
 }
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -21,6 +21,7 @@
 	"plantainfield.example/fleet/callstats"
 	"plantainfield.example/fleet/datagram"
 	"plantainfield.example/fleet/gateway"
+	"plantainfield.example/fleet/logring"
 	"plantainfield.example/fleet/peers"
 	"plantainfield.example/fleet/runtime"
 	"plantainfield.example/fleet/settings"
@@ -157,7 +158,7 @@
 				p.Loop.ServePlatform(ctx, p.Adapter.PlatformClient, p.Adapter.Settings.Platform.FleetCallsPerSecond)
 			})
 			workers.Go(func() { p.Adapter.PlatformCalls.LogEvery(ctx, callLogPeriod, p.Log) })
-			load := loadLog{loop: p.Loop, server: p.Gateway, targets: p.Targets, peers: p.Sender, log: p.Log}
+			load := loadLog{loop: p.Loop, server: p.Gateway, targets: p.Targets, peers: p.Sender, log: p.Log.Named(logring.InstanceLogger)}
 			workers.Go(func() { load.run(ctx) })
 			workers.Go(func() { p.Datagrams.Run(ctx) })
 			for range probeWorkers {
--- a/fleet/logring/logring.go
+++ b/fleet/logring/logring.go
@@ -26,20 +26,27 @@
 	// batchDelay is the time for which lines are collected, so that one write
 	// covers many of them.
 	batchDelay = 200 * time.Millisecond
+	// reservedLines bounds the number of queued reserved lines.
+	reservedLines = 256
 )
 
 // Ring is a zapcore.WriteSyncer that queues lines for a slow writer.
 type Ring struct {
 	lines chan []byte
-	// queuedBytes is the total size of the lines in the channel.
+	// reserved holds the lines of Reserved. They are written before the others.
+	reserved chan []byte
+	// queuedBytes is the total size of the lines in lines.
 	queuedBytes atomic.Int64
 	dropped     atomic.Uint64
-	flush       chan chan struct{}
+	// reported is the number of dropped lines that a line tells of. Only the writing
+	// goroutine uses it.
+	reported uint64
+	flush    chan chan struct{}
 }
 
 // New returns a Ring and starts a goroutine that writes its lines to w.
 func New(w io.Writer) *Ring {
-	r := &Ring{lines: make(chan []byte, ringLines), flush: make(chan chan struct{})}
+	r := &Ring{lines: make(chan []byte, ringLines), reserved: make(chan []byte, reservedLines), flush: make(chan chan struct{})}
 	go r.run(w)
 	return r
 }
@@ -60,6 +67,26 @@
 	return len(p), nil
 }
 
+// Reserved returns a writer for lines that must not be lost among many others: they
+// have a queue of their own and are written first. It never blocks.
+func (r *Ring) Reserved() *Reserved { return &Reserved{r} }
+
+// Reserved is a zapcore.WriteSyncer for the reserved lines of a Ring.
+type Reserved struct{ ring *Ring }
+
+// Write queues a reserved line, or drops it if their queue is full.
+func (w *Reserved) Write(p []byte) (int, error) {
+	select {
+	case w.ring.reserved <- append([]byte(nil), p...):
+	default:
+		w.ring.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Sync waits until all queued lines of the ring are written.
+func (w *Reserved) Sync() error { return w.ring.Sync() }
+
 // Dropped returns the number of lines dropped because the ring was full.
 func (r *Ring) Dropped() uint64 { return r.dropped.Load() }
 
@@ -91,10 +118,11 @@
 
 // run writes queued lines in batches.
 func (r *Ring) run(w io.Writer) {
-	reported := uint64(0)
 	for {
 		batch := make([]byte, 0, batchBytes)
 		select {
+		case line := <-r.reserved:
+			batch = append(batch, line...)
 		case line := <-r.lines:
 			batch = r.dequeue(batch, line)
 		case done := <-r.flush:
@@ -107,21 +135,38 @@
 			r.writeAll(w, batch, done)
 			continue
 		}
-		batch = r.fillBatch(batch, batchBytes)
-		if n := r.dropped.Load(); n > reported {
-			reported = n
-			batch = fmt.Appendf(batch, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"total\":%d}\n", n)
-		}
-		r.write(w, batch)
+		r.write(w, r.reportDropped(r.fillBatch(r.takeReserved(batch), batchBytes)))
 	}
 }
 
 // writeAll writes a batch and all queued lines, and closes done.
 func (r *Ring) writeAll(w io.Writer, batch []byte, done chan struct{}) {
-	r.write(w, r.fillBatch(batch, ringBytes))
+	r.write(w, r.reportDropped(r.fillBatch(r.takeReserved(batch), ringBytes)))
 	close(done)
 }
 
+// reportDropped appends a line with the number of lines dropped if that has risen.
+func (r *Ring) reportDropped(batch []byte) []byte {
+	n := r.dropped.Load()
+	if n == r.reported {
+		return batch
+	}
+	r.reported = n
+	return fmt.Appendf(batch, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"total\":%d}\n", n)
+}
+
+// takeReserved appends the queued reserved lines.
+func (r *Ring) takeReserved(batch []byte) []byte {
+	for {
+		select {
+		case line := <-r.reserved:
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
+	}
+}
+
 // fillBatch appends queued lines until the batch has about limit bytes.
 func (r *Ring) fillBatch(batch []byte, limit int) []byte {
 	for len(batch) < limit {
--- a/fleet/logring/logring_test.go
+++ b/fleet/logring/logring_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // blockedWriter is a writer that blocks until it is released.
@@ -72,3 +74,24 @@
 		}
 	})
 }
+
+func TestInstanceLinesAreKeptWhileRequestLinesAreDropped(t *testing.T) {
+	Convey("Lines on the instance and warnings are written, and come first, while others are dropped", t, func() {
+		w := &blockedWriter{release: make(chan struct{})}
+		ring := New(w)
+		encoder := zapcore.NewJSONEncoder(zapcore.EncoderConfig{MessageKey: "msg", NameKey: "logger"})
+		log := zap.New(NewCore(encoder, ring, zapcore.InfoLevel)).With(zap.String("a", "b"))
+		for ring.Dropped() == 0 {
+			log.Info(strings.Repeat("x", 999))
+		}
+		log.Named(InstanceLogger).Info("instance load")
+		log.Warn("attention")
+		close(w.release)
+		So(log.Sync(), ShouldBeNil)
+		text := w.got.String()
+		So(text, ShouldContainSubstring, `"instance load"`)
+		So(text, ShouldContainSubstring, `"attention"`)
+		So(text, ShouldContainSubstring, "log lines dropped")
+		So(strings.Index(text, "instance load"), ShouldBeLessThan, ringBytes/2)
+	})
+}
--- a/fleet/runtime/lateness.go
+++ b/fleet/runtime/lateness.go
@@ -5,28 +5,28 @@
 	"time"
 )
 
-// Lateness tells how late the loop processes its ticks, and so how long other
-// events wait for it. It is safe for concurrent use.
+// Lateness tells how late the loop processes something: its ticks, or the events
+// that are posted to it. It is safe for concurrent use.
 type Lateness struct {
 	mu sync.Mutex
 	// period is what was observed since the last Reset. It is guarded by mu.
 	period LatenessPeriod
 }
 
-// LatenessPeriod is the lateness of the ticks of a period.
+// LatenessPeriod is the lateness of what was processed in a period.
 type LatenessPeriod struct {
-	Ticks     int
+	Count     int
 	Sum, Most time.Duration
 }
 
-// Mean returns the mean lateness of a tick.
-func (p LatenessPeriod) Mean() time.Duration { return p.Sum / time.Duration(max(1, p.Ticks)) }
+// Mean returns the mean lateness.
+func (p LatenessPeriod) Mean() time.Duration { return p.Sum / time.Duration(max(1, p.Count)) }
 
 func (l *Lateness) observe(late time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	late = max(0, late)
-	l.period.Ticks++
+	l.period.Count++
 	l.period.Sum += late
 	l.period.Most = max(l.period.Most, late)
 }
--- a/fleet/runtime/loop.go
+++ b/fleet/runtime/loop.go
@@ -25,6 +25,12 @@
 	platformWorkers   = 16
 )
 
+// postedEvent is an event and the time when it was posted.
+type postedEvent struct {
+	event.Event
+	at time.Time
+}
+
 // actionQueues holds the action channels of the open handles. A handle belongs
 // to a request or to a query.
 type actionQueues struct {
@@ -36,7 +42,7 @@
 // where noted.
 type Loop struct {
 	node          *node.Node
-	events        chan event.Event
+	events        chan postedEvent
 	platformCalls chan event.PlatformCall
 	peerMessages  chan event.SendPeer
 	targetProbes  chan event.ProbeTarget
@@ -56,6 +62,7 @@
 	ended    chan struct{}
 	counters Counters
 	lateness Lateness
+	waits    Lateness
 	// sendDatagram sends a message that may be lost. It must not block.
 	sendDatagram func(to string, m event.PeerMessage)
 	// tickPeriod is the time between two ticks.
@@ -79,7 +86,7 @@
 func NewLoop(s node.Settings) *Loop {
 	return &Loop{
 		node:             node.New(s),
-		events:           make(chan event.Event, eventQueueSize),
+		events:           make(chan postedEvent, eventQueueSize),
 		platformCalls:    make(chan event.PlatformCall, platformQueueSize),
 		peerMessages:     make(chan event.SendPeer, peerQueueSize),
 		targetProbes:     make(chan event.ProbeTarget, probeQueueSize),
@@ -123,6 +130,9 @@
 // Lateness tells how late the loop processes its ticks.
 func (l *Loop) Lateness() *Lateness { return &l.lateness }
 
+// EventWaits tells how long posted events wait until the loop processes them.
+func (l *Loop) EventWaits() *Lateness { return &l.waits }
+
 // PlatformCalls returns the queue of platform calls to make.
 func (l *Loop) PlatformCalls() <-chan event.PlatformCall { return l.platformCalls }
 
@@ -140,7 +150,7 @@
 // Post queues an event. The event is dropped once the loop has ended.
 func (l *Loop) Post(e event.Event) {
 	select {
-	case l.events <- e:
+	case l.events <- postedEvent{e, time.Now()}:
 	case <-l.ended:
 	}
 }
@@ -195,7 +205,9 @@
 		case due := <-ticker.C:
 			l.lateness.observe(time.Since(due))
 			e = event.Event{Tick: &event.Tick{}}
-		case e = <-l.events:
+		case posted := <-l.events:
+			l.waits.observe(time.Since(posted.at))
+			e = posted.Event
 		}
 		l.step(time.Since(start), e)
 	}
