Answer a request whose time-out has passed without waiting for the core

Cause: the gateway's timer only told the core, and the answer waited for the core's Refuse: through a queue of up to 4,096 events and back, behind all that had arrived since.

Change: while no attempt is in progress nothing of a request can be sent but by its own goroutine, so it knows by itself whether the request may have run. It answers at the time-out, or ends when the caller leaves; another goroutine tells the core and answers its actions on the request, so that a late Dispatch is never sent.

--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/quarantine"
+	"plantainfield.example/fleet/runtime"
 )
 
 // exchange serves one request. It executes the core's actions one at a time on
@@ -40,17 +41,25 @@
 	actions <-chan event.Action
 	// relay is the state of the response to the caller.
 	relay relayState
+	// mayHaveRun is set once a target or a peer may have run the request.
+	mayHaveRun bool
 	// abandonKind is set once no further attempt may start, because the caller
 	// disconnected or the request timed out.
 	abandonKind errkind.Kind
 	log         *zap.Logger
 }
 
-// run serves the request until it is complete.
+// run serves the request until it is complete, its time-out has passed or its
+// caller has left.
 func (x *exchange) run() {
 	loop := x.server.loop
 	x.handle, x.actions = loop.Open()
-	defer loop.Close(x.handle)
+	complete := true
+	defer func() {
+		if complete {
+			loop.Close(x.handle)
+		}
+	}()
 	x.bodyHash = x.hashBody()
 	x.log = x.server.log.With(zap.String("request", x.meta.AttemptID), zap.String("route", x.route.Name), zap.String("customer", x.owner.Customer),
 		zap.String("body", quarantine.ShortID(x.bodyHash)))
@@ -59,16 +68,18 @@
 	x.serves = x.route.Destination(xxhash.Sum64String(cmp.Or(x.meta.Resumes, x.meta.AttemptID)))
 	arrival := x.arrival(x.handle)
 	loop.Post(event.Event{RequestArrived: &arrival})
-	gone := ctx.Done()
 	for {
 		select {
 		case a := <-x.actions:
 			if x.handleAction(ctx, a) {
 				return
 			}
-		case <-gone:
-			gone = nil
-			x.abandon(ctx)
+		case <-ctx.Done():
+			complete = false
+			x.setAbandonKind(ctx)
+			go endAbandoned(loop, x.handle, x.actions)
+			x.refuseAbandoned()
+			return
 		case <-loop.Ended():
 			x.refuse(Refusal{Kind: errkind.Stopping, Ran: errkind.RanNo})
 			return
@@ -80,13 +91,50 @@
 var errTimeout = errors.New("the request timed out")
 
 // abandon tells the core that the result of the request is no longer needed.
-// The core responds with a Refuse action, for which run waits.
 func (x *exchange) abandon(ctx context.Context) {
+	x.setAbandonKind(ctx)
+	x.server.loop.Post(event.Event{CallerGone: &event.CallerGone{Request: x.handle}})
+}
+
+// setAbandonKind records why the request is abandoned.
+func (x *exchange) setAbandonKind(ctx context.Context) {
 	x.abandonKind = errkind.CallerGone
 	if errors.Is(context.Cause(ctx), errTimeout) {
 		x.abandonKind = errkind.DeadlineUnmeetable
 	}
-	x.server.loop.Post(event.Event{CallerGone: &event.CallerGone{Request: x.handle}})
+}
+
+// refuseAbandoned answers a request that was abandoned while no attempt of it was in
+// progress. It does not wait for the core, which may be late.
+func (x *exchange) refuseAbandoned() {
+	ran := errkind.RanNo
+	if x.mayHaveRun {
+		ran = errkind.RanUnknown
+	}
+	after := time.Duration(errkind.Lookup(x.abandonKind).RetryAfterSeconds) * time.Second
+	x.refuse(Refusal{Kind: x.abandonKind, Ran: ran, RetryAfter: after})
+}
+
+// endAbandoned tells the core that a request was answered without it, and executes
+// the core's actions on it until the core has ended it: nothing is sent any more.
+func endAbandoned(loop *runtime.Loop, handle uint64, actions <-chan event.Action) {
+	defer loop.Close(handle)
+	loop.Post(event.Event{CallerGone: &event.CallerGone{Request: handle}})
+	for {
+		select {
+		case a := <-actions:
+			switch {
+			case a.Dispatch != nil:
+				loop.Post(event.Event{AttemptEnded: &event.AttemptEnded{Attempt: a.Dispatch.Attempt, Outcome: event.AttemptNotStarted, Unsent: true, UsageKnown: true}})
+			case a.HandOver != nil:
+				loop.Post(event.Event{HandOverEnded: &event.HandOverEnded{Request: handle, Refused: true}})
+			case a.Refuse != nil, a.ReleaseAnswer != nil, a.ReplayAnswer != nil:
+				return
+			}
+		case <-loop.Ended():
+			return
+		}
+	}
 }
 
 // handleAction executes an action and reports whether the request is complete.
@@ -94,6 +142,7 @@
 	switch {
 	case a.Dispatch != nil:
 		end := x.attempt(ctx, a.Dispatch)
+		x.mayHaveRun = x.mayHaveRun || end.Outcome != event.AttemptNotStarted
 		if end.Outcome == event.AttemptNotStarted && ctx.Err() != nil {
 			x.abandon(ctx) // before the core tries another target
 		}
--- a/fleet/gateway/handover.go
+++ b/fleet/gateway/handover.go
@@ -74,6 +74,7 @@
 		_ = resp.Body.Close()
 	}
 	end.BytesDelivered = x.relay.started
+	x.mayHaveRun = x.mayHaveRun || !end.Refused
 	x.log.Info("hand-over ended", zap.String("peer", h.Peer), zap.Bool("refused", end.Refused), zap.Bool("lost", end.Lost), zap.Bool("cancelled", cancelled),
 		zap.String("kind", string(end.Kind)), zap.Int("events", x.relay.events.count-events), zap.Duration("took", time.Since(began)),
 		zap.Duration("waited", began.Sub(x.arrived)), zap.Error(err))
