--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -27,6 +27,7 @@
 	InProgress                Kind = "request_in_progress"
 	OutcomeUnknown            Kind = "outcome_unknown"
 	Overloaded                Kind = "overloaded"
+	InstanceOverloaded        Kind = "instance_overloaded"
 	DeadlineUnmeetable        Kind = "deadline_unmeetable"
 	NoTarget                  Kind = "no_target"
 	TargetNotStarted          Kind = "target_not_started"
@@ -102,6 +103,7 @@
 	InProgress:           {http.StatusConflict, typeConflict, RanUnknown, 1, "a request with this idempotency key is running"},
 	OutcomeUnknown:       {http.StatusConflict, typeConflict, RanUnknown, 0, "the request may have run; its outcome is not known"},
 	Overloaded:           {http.StatusServiceUnavailable, typeRateLimit, RanNo, 1, "all targets are at their concurrency limit"},
+	InstanceOverloaded:   {http.StatusServiceUnavailable, typeRateLimit, RanNo, 1, "the instance is short of processor time; others may have room"},
 	DeadlineUnmeetable:   {http.StatusServiceUnavailable, typeRateLimit, RanNo, 2, "the deadline can't be met"},
 	NoTarget:             {http.StatusServiceUnavailable, typeServer, RanNo, 2, "no live target serves this"},
 	TargetNotStarted:     {http.StatusBadGateway, typeServer, RanNo, 1, "no target accepted the request"},
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -17,6 +17,7 @@
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/placement"
+	"plantainfield.example/fleet/logring"
 	"plantainfield.example/fleet/runtime"
 	"plantainfield.example/fleet/settings"
 	"plantainfield.example/fleet/upstream"
@@ -34,6 +35,8 @@
 	limits   settings.Limits
 	log      *zap.Logger
 	metrics  *metrics
+	// admission refuses requests while the instance is short of processor time.
+	admission *admission
 	// activeRequests is the number of requests in progress.
 	activeRequests atomic.Int64
 	// requests counts the requests that have arrived.
@@ -47,7 +50,10 @@
 
 // New returns a Server. peers sends requests that are handed over to peers.
 func New(loop *runtime.Loop, targets, peers *upstream.Client, protocol Protocol, set *settings.Settings, log *zap.Logger) *Server {
-	return &Server{loop: loop, targets: targets, peers: peers, peerKey: set.PeerKey, protocol: protocol, limits: set.Limits, log: log, metrics: newMetrics()}
+	return &Server{
+		loop: loop, targets: targets, peers: peers, peerKey: set.PeerKey, protocol: protocol, limits: set.Limits, log: log, metrics: newMetrics(),
+		admission: newAdmission(loop, log.Named(logring.InstanceLogger)),
+	}
 }
 
 // ActiveRequests returns the number of requests in progress.
@@ -100,6 +106,10 @@
 		s.refuseEarly(w, r, errkind.Unauthenticated, "")
 		return
 	}
+	if admitted, retryAfter := s.admission.admit(owner.Customer, s.activeRequests.Load()); !admitted {
+		s.refuseOverloaded(w, r, retryAfter)
+		return
+	}
 	body, kind := s.readBody(w, r, index.Routing.CallerLimits)
 	if kind != errkind.None {
 		s.refuseEarly(w, r, kind, "")
@@ -150,11 +160,23 @@
 // refuseEarly sends an error response to a request that is not passed to the
 // core.
 func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, kind errkind.Kind, detail string) {
-	s.metrics.refused.WithLabelValues(string(kind)).Inc()
+	after := time.Duration(errkind.Lookup(kind).RetryAfterSeconds) * time.Second
 	s.log.Info("request refused", zap.String("kind", string(kind)), zap.String("host", r.Host), zap.String("path", r.URL.Path), zap.String("detail", detail))
-	markRefusal(w, r, kind, errkind.RanNo)
-	defaults := errkind.Lookup(kind)
-	s.protocol.Refuse(w, Refusal{Kind: kind, Ran: errkind.RanNo, RetryAfter: time.Duration(defaults.RetryAfterSeconds) * time.Second})
+	s.writeRefusal(w, r, Refusal{Kind: kind, Ran: errkind.RanNo, RetryAfter: after})
+}
+
+func (s *Server) writeRefusal(w http.ResponseWriter, r *http.Request, refusal Refusal) {
+	s.metrics.refused.WithLabelValues(string(refusal.Kind)).Inc()
+	markRefusal(w, r, refusal.Kind, refusal.Ran)
+	s.protocol.Refuse(w, refusal)
+}
+
+// refuseOverloaded refuses a request for lack of processor time. The connection is
+// closed, so that its memory is free and the caller's next request may go to another
+// instance. admission logs how many requests are refused.
+func (s *Server) refuseOverloaded(w http.ResponseWriter, r *http.Request, retryAfter time.Duration) {
+	w.Header().Set("Connection", "close")
+	s.writeRefusal(w, r, Refusal{Kind: errkind.InstanceOverloaded, Ran: errkind.RanNo, RetryAfter: retryAfter})
 }
 
 // arrival returns the event that passes the request to the core. Requests are not
--- a/fleet/runtime/loop.go
+++ b/fleet/runtime/loop.go
@@ -63,6 +63,12 @@
 	counters Counters
 	lateness Lateness
 	waits    Lateness
+	// began is when the Loop was made, and progress the time from then until it last
+	// began to process something.
+	began    time.Time
+	progress atomic.Int64
+	// onWait receives how long each event or tick has waited. It must not block.
+	onWait func(wait time.Duration)
 	// sendDatagram sends a message that may be lost. It must not block.
 	sendDatagram func(to string, m event.PeerMessage)
 	// tickPeriod is the time between two ticks.
@@ -99,6 +105,8 @@
 		onLogEntry:       func(event.LogEntry) {},
 		sendDatagram:     func(string, event.PeerMessage) {},
 		tickPeriod:       event.TickPeriod,
+		onWait:           func(time.Duration) {},
+		began:            time.Now(),
 	}
 }
 
@@ -114,6 +122,17 @@
 // function must never block. SetLogHandler must be called before Run.
 func (l *Loop) SetLogHandler(handle func(event.LogEntry)) { l.onLogEntry = handle }
 
+// SetWaitHandler sets the function that receives how long each event or tick has
+// waited when the loop begins to process it. The function must never block.
+// SetWaitHandler must be called before Run.
+func (l *Loop) SetWaitHandler(handle func(wait time.Duration)) { l.onWait = handle }
+
+// Stalled returns the time since the loop last began to process something. In a loop
+// that runs it is hardly longer than the tick period.
+func (l *Loop) Stalled() time.Duration {
+	return time.Since(l.began) - time.Duration(l.progress.Load())
+}
+
 // Index returns the configuration in force, or nil if there is none yet.
 func (l *Loop) Index() *config.Index { return l.index.Load() }
 
@@ -194,6 +213,7 @@
 	ticker := time.NewTicker(l.tickPeriod)
 	defer ticker.Stop()
 	start := time.Now()
+	l.progress.Store(int64(start.Sub(l.began)))
 	for {
 		var e event.Event
 		select {
@@ -203,16 +223,25 @@
 			reply <- l.node.Dump()
 			continue
 		case due := <-ticker.C:
-			l.lateness.observe(time.Since(due))
+			l.observeWait(&l.lateness, due)
 			e = event.Event{Tick: &event.Tick{}}
 		case posted := <-l.events:
-			l.waits.observe(time.Since(posted.at))
+			l.observeWait(&l.waits, posted.at)
 			e = posted.Event
 		}
 		l.step(time.Since(start), e)
 	}
 }
 
+// observeWait records that the loop begins to process what has been due since a time.
+func (l *Loop) observeWait(in *Lateness, due time.Time) {
+	now := time.Now()
+	l.progress.Store(int64(now.Sub(l.began)))
+	wait := now.Sub(due)
+	in.observe(wait)
+	l.onWait(wait)
+}
+
 // step processes one event and, right after it, the failures of platform calls
 // that did not fit into the queue.
 func (l *Loop) step(now time.Duration, e event.Event) {
