Bound the idle connections of callers by the memory of the instance

What callers saw: an instance that had been flooded stayed slow after the flood.

Cause: callers open a new connection for each try, and idle ones were kept for a minute, however many.

Change: beyond an eighth of the memory, at 24 KiB each, the connection that has been idle longest is closed. Connections in use are never closed by it.

--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -210,10 +210,11 @@
 // runHostedListeners serves callers, peers and the platform.
 func runHostedListeners(p hostedParams) {
 	limits := p.Adapter.Settings.Limits
+	idle := gateway.NewIdleConnections(p.Adapter.MemoryBytes, p.Log.Named(logring.InstanceLogger))
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(hostedRegistry(p), promhttp.HandlerOpts{}))
 	servers := map[string]*http.Server{
-		p.Adapter.Settings.Callers.Address: {Handler: p.Gateway, MaxHeaderBytes: limits.MaxHeaderBytes},
+		p.Adapter.Settings.Callers.Address: {Handler: p.Gateway, MaxHeaderBytes: limits.MaxHeaderBytes, ConnState: idle.StateChanged},
 		p.Adapter.DirectoryAddress:         {Handler: p.Adapter.DirectoryHandler(p.Addresses)},
 		p.Adapter.ReadyAddress:             {Handler: p.Adapter.ReadyHandler(p.Gateway.Ready)},
 		p.Adapter.MetricsAddress:           {Handler: metrics},
