Don't take an earlier refusal on a kept connection for the answer to a later request

What could happen: a target that writes an earlier refusal once more on a kept connection, without the attempt's id, made callers believe that a request which the target ran was not run: a false 'not run' (REFUSED), or a second run elsewhere (TWICE).

Cause: a response without an attempt id counted as the request's own. One with the id of an earlier send of the same attempt, on the same connection, did too.

Change: on a connection that was used before, a response without an id is an error, after which the request may have run. A connection remembers the last four ids, and a request is not sent again on a connection that it was sent on. Instances, whose own responses have no id, are asked by a client of their own.

--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -127,7 +127,7 @@
 }
 
 func newGateway(adapter *PlatformAdapter, loop *runtime.Loop, targets *upstream.Client, log *zap.Logger) *gateway.Server {
-	return gateway.New(loop, targets, upstream.NewClient(adapter.AttemptIDHeader, nil), adapter.Protocol, adapter.Settings, log)
+	return gateway.New(loop, targets, upstream.NewPeerClient(adapter.AttemptIDHeader), adapter.Protocol, adapter.Settings, log)
 }
 
 // hostedParams are the dependencies of the background workers and the
--- a/fleet/upstream/exchange.go
+++ b/fleet/upstream/exchange.go
@@ -69,12 +69,17 @@
 		return nil, err
 	}
 	id := req.Header.Get(x.client.attemptHeader)
+	reused := len(x.conn.sent) > 0
+	x.conn.remember(id)
 	for range maxMismatchedResponses + 1 {
 		resp, err := x.readHead(req)
 		if err != nil {
 			return nil, err
 		}
 		echoed := resp.Header.Get(x.client.attemptHeader)
+		if echoed == "" && reused && !x.client.servesPeers {
+			return nil, fmt.Errorf("%w, or has no attempt ID", ErrResponseMismatch)
+		}
 		if echoed == "" || echoed == id {
 			x.idleTimeout = keepAliveTimeout(resp.Header)
 			return resp, nil
--- a/fleet/upstream/upstream.go
+++ b/fleet/upstream/upstream.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -38,6 +39,8 @@
 	maxMismatchedResponses = 2
 	// maxMismatchedBodyBytes bounds the body of a response that is skipped.
 	maxMismatchedBodyBytes = 64 << 10
+	// maxRememberedIDs bounds the attempt IDs that a connection remembers.
+	maxRememberedIDs = 4
 )
 
 var (
@@ -53,6 +56,9 @@
 	attemptHeader string
 	openConn      DialFunc
 	settleTime    time.Duration
+	// servesPeers is set if the targets are instances: their own responses have no
+	// attempt ID, and they write none twice.
+	servesPeers bool
 	// ConnectionsOpened counts new connections.
 	ConnectionsOpened atomic.Uint64
 
@@ -79,6 +85,13 @@
 	}
 }
 
+// NewPeerClient returns a Client that sends requests to other instances.
+func NewPeerClient(attemptHeader string) *Client {
+	c := NewClient(attemptHeader, nil)
+	c.servesPeers = true
+	return c
+}
+
 // ErrHeadTooLong reports that the head of a response, informational responses
 // before it included, is longer than maxHeadBytes.
 var ErrHeadTooLong = errors.New("the response header is too long")
@@ -114,15 +127,26 @@
 	source  *headLimiter
 	reader  *bufio.Reader
 	address string
+	// sent holds the attempt IDs of the last requests on this connection: a response
+	// with one of them may belong to that request.
+	sent []string
 	// reuseUntil is the time after which the connection must not be reused.
 	reuseUntil time.Time
 }
 
+// remember records that a request was sent on the connection.
+func (pc *conn) remember(id string) {
+	if len(pc.sent) == maxRememberedIDs {
+		pc.sent = slices.Delete(pc.sent, 0, 1)
+	}
+	pc.sent = append(pc.sent, id)
+}
+
 // Do sends a request and returns its response. The caller must close the
 // response body. If ctx ends, the connection is closed, which cancels the
 // request; a head that arrives until HeadGrace later is returned nevertheless.
 func (c *Client) Do(ctx context.Context, address string, req *http.Request, body []byte) (*http.Response, error) {
-	pc, err := c.connection(ctx, address)
+	pc, err := c.connection(ctx, address, req.Header.Get(c.attemptHeader))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
@@ -146,10 +170,11 @@
 	return r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
-// connection returns an idle connection that is still usable, or a new one.
-func (c *Client) connection(ctx context.Context, address string) (*conn, error) {
+// connection returns an idle connection that is still usable for a request with an
+// attempt ID, or a new one.
+func (c *Client) connection(ctx context.Context, address, id string) (*conn, error) {
 	for pc := c.takeIdle(address); pc != nil; pc = c.takeIdle(address) {
-		if time.Now().Before(pc.reuseUntil) && isIdle(pc.Conn) {
+		if time.Now().Before(pc.reuseUntil) && !slices.Contains(pc.sent, id) && isIdle(pc.Conn) {
 			return pc, nil
 		}
 		_ = pc.Close()
--- a/fleet/upstream/upstream_test.go
+++ b/fleet/upstream/upstream_test.go
@@ -138,6 +138,78 @@
 	})
 }
 
+func TestEarlierRefusalOnceMoreIsNotTheAnswerToALaterRequest(t *testing.T) {
+	refusal := func(id string) string {
+		head := "HTTP/1.1 503 Service Unavailable\r\n"
+		if id != "" {
+			head += attemptHeader + ": " + id + "\r\n"
+		}
+		return head + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	// The target refuses the first request of a connection, and writes a refusal again
+	// when the second one has arrived, which it runs.
+	start := func(t *testing.T, again func(firstID string) string) (string, *atomic.Int64) {
+		return newScriptedTarget(t, func(_ int64, c net.Conn, r *bufio.Reader) {
+			first, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, refusal(first))
+			if id, _, err := readRequest(r); err == nil {
+				_, _ = io.WriteString(c, again(first)+responseWithID(id, "ran"))
+				_, _, _ = readRequest(r)
+			}
+		})
+	}
+	ask := func(c *Client, address, id string) (int, error) {
+		resp, err := c.Do(context.Background(), address, request(http.MethodPost, id), nil)
+		if err != nil {
+			return 0, err
+		}
+		defer resp.Body.Close()
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode, nil
+	}
+	Convey("A refusal with the ID of the earlier request is skipped", t, func() {
+		address, _ := start(t, refusal)
+		client := NewClient(attemptHeader, nil)
+		status, err := ask(client, address, "a")
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, http.StatusServiceUnavailable)
+		status, err = ask(client, address, "b")
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, http.StatusOK)
+	})
+	Convey("A refusal without an ID on a kept connection proves nothing: the outcome is unknown", t, func() {
+		address, _ := start(t, func(string) string { return refusal("") })
+		client := NewClient(attemptHeader, nil)
+		_, err := ask(client, address, "a")
+		So(err, ShouldBeNil)
+		_, err = ask(client, address, "b")
+		So(errors.Is(err, ErrResponseMismatch), ShouldBeTrue)
+		So(errors.Is(err, ErrUnsent), ShouldBeFalse)
+	})
+	Convey("A request that was refused goes to its target again on another connection, where no refusal of it can be under way", t, func() {
+		address, connections := start(t, refusal)
+		client := NewClient(attemptHeader, nil)
+		for range 2 {
+			status, err := ask(client, address, "a")
+			So(err, ShouldBeNil)
+			So(status, ShouldEqual, http.StatusServiceUnavailable)
+		}
+		So(connections.Load(), ShouldEqual, 2)
+	})
+	Convey("A response without an ID on a new connection is the request's own", t, func() {
+		address, _ := newScriptedTarget(t, func(_ int64, c net.Conn, r *bufio.Reader) {
+			_, _, _ = readRequest(r)
+			_, _ = io.WriteString(c, refusal(""))
+		})
+		status, err := ask(NewClient(attemptHeader, nil), address, "a")
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, http.StatusServiceUnavailable)
+	})
+}
+
 func TestRequestsAreNotRetried(t *testing.T) {
 	Convey("A request on a connection that breaks is not retried", t, func() {
 		var seen atomic.Int64
