Don't go on with a stream that broke off in an answer that is not its rest

What could happen: a stream had begun and broke off, and the next target answered the resumed request with something else: a 200 with an error's text, a 204, a stream from its start, an event without an id.

Cause: any 2xx counted as the rest of the stream, whatever it held.

Change: the rest is a 200 of type text/event-stream whose first event has an id after the last one that the caller has; anything else fails the attempt before a byte of it is passed on. The caller then gets the rest from another target, or a connection that breaks off.

--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -68,6 +69,9 @@
 	// the latest chunk.
 	timeToFirst, longestGap time.Duration
 	lastAt                  time.Time
+	// continuesAfter is the ID of the last event of the earlier attempts until the
+	// current one has shown that it goes on after it.
+	continuesAfter string
 	// chargedTokens is the usage of the previous attempts, in tokens.
 	chargedTokens int64
 }
@@ -324,6 +328,9 @@
 // errInsideEvent reports that a stream ended inside an event.
 var errInsideEvent = errors.New("the stream ended inside an event")
 
+// streamMediaType is the media type of a stream of server-sent events.
+const streamMediaType = "text/event-stream"
+
 // errNotResumed reports that a target did not resume a stream.
 var errNotResumed = errors.New("the target did not resume the stream")
 
@@ -352,6 +359,10 @@
 func (x *exchange) relayStream(resp *http.Response, attempt string) error {
 	buffer := make([]byte, readBufferBytes)
 	x.relay.events.partial = nil // drop the partial event of an earlier attempt
+	if x.relay.started && !mayContinueStream(resp) {
+		return errNotResumed
+	}
+	x.relay.continuesAfter = x.relay.events.lastID
 	for first := true; ; {
 		n, err := resp.Body.Read(buffer)
 		if n > 0 {
@@ -381,6 +392,7 @@
 		x.beginStream(resp)
 	}
 	x.relay.recordChunk(x.arrived)
+	events := x.relay.events
 	complete := x.relay.events.add(chunk)
 	if len(x.relay.events.partial) > maxEventBytes {
 		return false, errEventTooLong
@@ -388,12 +400,25 @@
 	if len(complete) == 0 {
 		return false, nil
 	}
+	if after := x.relay.continuesAfter; after != "" && !continues(complete, after) {
+		x.relay.events = events
+		x.relay.events.partial = nil
+		return false, errNotResumed
+	}
+	x.relay.continuesAfter = ""
 	if _, err := x.w.Write(complete); err != nil {
 		return true, err
 	}
 	return true, http.NewResponseController(x.w).Flush()
 }
 
+// mayContinueStream reports whether a successful response can be the rest of a stream
+// by its head.
+func mayContinueStream(resp *http.Response) bool {
+	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return resp.StatusCode == http.StatusOK && err == nil && mediaType == streamMediaType
+}
+
 func (x *exchange) beginStream(resp *http.Response) {
 	x.relay.started = true
 	copyEndToEndHeaders(x.w.Header(), resp.Header)
--- a/fleet/gateway/event_buffer.go
+++ b/fleet/gateway/event_buffer.go
@@ -37,6 +37,31 @@
 	return complete
 }
 
+// continues reports whether the next bytes of a stream, a complete event at least, go
+// on after the event with an ID: with an event that has an ID itself, a later one where
+// both are numbers.
+func continues(complete []byte, after string) bool {
+	next := eventBuffer{}
+	next.scan(complete[:firstEventLength(complete)])
+	last, errLast := strconv.ParseInt(after, 10, 64)
+	id, errID := strconv.ParseInt(next.lastID, 10, 64)
+	if errLast != nil || errID != nil {
+		return next.lastID != "" && next.lastID != after
+	}
+	return id > last
+}
+
+// firstEventLength returns the length of the first complete event of b.
+func firstEventLength(b []byte) int {
+	end := len(b)
+	for _, blank := range [][]byte{blankLine, blankCRLF} {
+		if i := bytes.Index(b, blank); i >= 0 {
+			end = min(end, i+len(blank))
+		}
+	}
+	return end
+}
+
 // completeLength returns the length of the complete events at the beginning of
 // b.
 func completeLength(b []byte) int {
