Hand a request to another peer if the first one is short of processor time

An instance that reaches no target hands requests over to peers. A peer that refuses one for lack of processor time has not run it and says nothing of the request, so another peer may serve it; its refusal was passed on to the caller. The line added to core/reach's test fails without the change.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -197,7 +197,7 @@
 // of the request, its budget or the targets.
 func OtherPeerMayServe(kind errkind.Kind) bool {
 	switch kind {
-	case errkind.None, errkind.NotReady, errkind.Stopping, errkind.Isolated, errkind.NoTarget, errkind.TargetNotStarted, errkind.TooManyStreams,
+	case errkind.None, errkind.NotReady, errkind.Stopping, errkind.Isolated, errkind.NoTarget, errkind.TargetNotStarted, errkind.TooManyStreams, errkind.InstanceOverloaded,
 		errkind.UnknownPath, errkind.Unauthenticated:
 		return true
 	}
