--- a/fleet/gateway/admission.go
+++ b/fleet/gateway/admission.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"plantainfield.example/core/overload"
@@ -98,6 +99,29 @@
 	return false, a.gate.RetryAfter(now, pending, rand.Float64())
 }
 
+// collectors returns metrics of how long work waits for processor time.
+func (a *admission) collectors() []prometheus.Collector {
+	state := func() (wait time.Duration, short bool) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		now := time.Since(a.began)
+		pending := a.pending(now)
+		return a.gate.Wait(now, pending), a.gate.Short(now, pending)
+	}
+	return []prometheus.Collector{
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "plantainfield_work_wait_seconds", Help: "How long work that is ready waits for processor time."}, func() float64 {
+			wait, _ := state()
+			return wait.Seconds()
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "plantainfield_processor_time_short", Help: "1 while requests are refused because the instance is short of processor time, otherwise 0."}, func() float64 {
+			if _, short := state(); short {
+				return 1
+			}
+			return 0
+		}),
+	}
+}
+
 // logChange logs when the instance begins or ceases to be short of processor time, and
 // how many requests it has refused meanwhile. The caller holds mu.
 func (a *admission) logChange(now, pending time.Duration) {
--- a/fleet/gateway/metrics.go
+++ b/fleet/gateway/metrics.go
@@ -36,7 +36,7 @@
 
 // Collectors returns the server's metrics for registration.
 func (s *Server) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{s.metrics.refused, s.metrics.handOvers, s.metrics.notices, s.metrics.responseTime, s.metrics.firstEvent}
+	return append(s.admission.collectors(), s.metrics.refused, s.metrics.handOvers, s.metrics.notices, s.metrics.responseTime, s.metrics.firstEvent)
 }
 
 func (m *metrics) countHandOver(end event.HandOverEnded, cancelled bool) {
