Wait for tokens that a peer has offered before a request is refused

What callers saw: a request that the budget covered was refused as budget_exhausted, though a peer had offered the missing tokens and was just being asked for them.

Cause: a request waits 250 ms for peers. A peer can send received tokens on only once the ledger records them; where that took 220 ms, its offer came at the end of the wait, and the request was refused 10 ms before the tokens arrived (traced in TestBudgetIsSpentToTheLastRequest: asked at 18.24 s, refused at 18.25 s, sent at 18.25 s).

Change: while peers that offered tokens are asked for them, the wait goes on until they answer or the 80 ms that they have are over.

Evidence: TestRequestIsNotRefusedWhileOfferedTokensAreUnderWay fails without the change.

--- a/core/node/transfers.go
+++ b/core/node/transfers.go
@@ -298,6 +298,13 @@
 	}
 }
 
+// offerPending reports whether a peer that offered tokens of a budget was asked for
+// them and may still answer.
+func (n *Node) offerPending(budgetName string) bool {
+	rd := n.transfers.rounds[budgetName]
+	return rd != nil && rd.asks > 1 && len(rd.pending) > 0 && n.now < rd.timeout
+}
+
 // updateRunsFor reports whether an update of the ledger runs that may bring the
 // tokens of a request. Where the policy doesn't bound the wait for tokens, peers
 // are asked only after an update, so that none is waited for.
@@ -345,7 +352,7 @@
 		if r.refusal == errkind.None || n.updateRunsFor(r) && r.askedPeers {
 			continue
 		}
-		if n.now >= r.peerDeadline && !n.updateRunsFor(r) {
+		if n.now >= r.peerDeadline && !n.updateRunsFor(r) && !n.offerPending(r.Budget) {
 			n.handOverOrRefuse(r, n.transfers.rounds[r.Budget])
 			continue
 		}
--- a/core/node/transfers_test.go
+++ b/core/node/transfers_test.go
@@ -247,3 +247,19 @@
 		})
 	})
 }
+
+func TestRequestIsNotRefusedWhileOfferedTokensAreUnderWay(t *testing.T) {
+	Convey("A request whose wait for peers is over waits on for tokens that a peer has offered and was asked for, until the peer's time is over", t, func() {
+		n := readyWorldWith(2, 1000, func(p *config.GrantPolicy) { p.Policy = config.GrantFixed }).nodes["n1"].node
+		r := &request{RequestArrived: exampleRequest("k", 900, true), phase: phaseWaitingForGrant}
+		r.budgetWait = budgetWait{since: n.now, refusal: errkind.BudgetExhausted, peerDeadline: n.now, askedPeers: true, askedLedger: true}
+		n.requests.add(r)
+		asked := n.now
+		n.transfers.rounds["b"] = &transferRound{asks: maxAsksPerRound, timeout: asked + askTimeout, pending: map[string]bool{"n2": true}, offers: map[string]event.Transfer{"n2": {Transferable: 900}}}
+		tick := func(at time.Duration) { n.Step(event.Input{Now: at, Event: event.Event{Tick: &event.Tick{}}}) }
+		tick(asked + askTimeout - event.TickPeriod)
+		So(n.requests.byHandle[r.Request], ShouldEqual, r)
+		tick(asked + askTimeout)
+		So(n.requests.byHandle[r.Request], ShouldBeNil)
+	})
+}
