Probe the scheduler only where requests could be refused, and forget old waits

An instance with up to eight open requests refuses none for lack of processor time, so it needs no goroutine at each event to measure the scheduler's queue. A source that is no longer observed for four windows counts no more: otherwise the last waits of a flood would refuse the first requests of the next burst. The new case of TestGate fails without the second change.

--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -19,6 +19,9 @@
 	// longer than tolerated for the instance to be short. A single pause, such as a
 	// garbage collection, is shorter.
 	lateWindows = 2
+	// staleWindows is the number of successive windows without observations after which
+	// earlier ones no longer count: nothing had to wait.
+	staleWindows = 4
 	// severe is the wait from which on all requests are refused. Below it only those of
 	// customers with more than their share are.
 	severe = 150 * time.Millisecond
@@ -69,12 +72,18 @@
 	// of successive windows in which it was longer than tolerated.
 	mean time.Duration
 	late int
+	// empty is the number of windows since then without observations.
+	empty int
 }
 
 func (w *waits) endWindow() {
 	if w.count == 0 {
+		if w.empty++; w.empty == staleWindows {
+			w.mean, w.late = 0, 0
+		}
 		return
 	}
+	w.empty = 0
 	w.mean = w.sum / time.Duration(w.count)
 	w.sum, w.count = 0, 0
 	if w.mean > tolerated {
--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -57,6 +57,16 @@
 			})
 		})
 	}
+	Convey("Waits of a source that is no longer observed don't count on", t, func() {
+		g := NewGate()
+		now := observeFor(g, 0, 4*window, Scheduler, 2*severe)
+		So(g.Short(now, 0), ShouldBeTrue)
+		now = observeFor(g, now, 2*window, Loop, 0)
+		So(g.Short(now, 0), ShouldBeTrue)
+		now = observeFor(g, now, staleWindows*window, Loop, 0)
+		So(g.Short(now, 0), ShouldBeFalse)
+		So(g.Wait(now, 0), ShouldEqual, 0)
+	})
 	Convey("Work that is not begun makes it refuse requests though nothing is observed, and not after the pause", t, func() {
 		g := NewGate()
 		now := observeFor(g, 0, time.Second, Loop, 0)
--- a/fleet/gateway/admission.go
+++ b/fleet/gateway/admission.go
@@ -22,6 +22,8 @@
 type admission struct {
 	loop *runtime.Loop
 	log  *zap.Logger
+	// open returns the number of requests in progress.
+	open func() int64
 	// began is the moment that the gate's times are measured from.
 	began time.Time
 	// probing is when a goroutine was queued that measures how long the scheduler takes
@@ -41,8 +43,8 @@
 // processor time.
 const shortLogPeriod = time.Second
 
-func newAdmission(loop *runtime.Loop, log *zap.Logger) *admission {
-	a := &admission{loop: loop, log: log, began: time.Now(), gate: overload.NewGate()}
+func newAdmission(loop *runtime.Loop, open func() int64, log *zap.Logger) *admission {
+	a := &admission{loop: loop, open: open, log: log, began: time.Now(), gate: overload.NewGate()}
 	loop.SetWaitHandler(a.observe)
 	return a
 }
@@ -50,7 +52,9 @@
 // observe records how long an event waited for the loop.
 func (a *admission) observe(wait time.Duration) {
 	a.record(overload.Loop, wait)
-	a.probeScheduler()
+	if a.open() > minOverloadedRequests {
+		a.probeScheduler()
+	}
 }
 
 // probeScheduler measures, beside the loop, how long a goroutine that is last in the
@@ -85,14 +89,14 @@
 }
 
 // admit reports whether a request of a customer is taken. If it is not, it returns
-// when its caller may come back. open is the number of requests in progress.
-func (a *admission) admit(customer string, open int64) (admitted bool, retryAfter time.Duration) {
+// when its caller may come back.
+func (a *admission) admit(customer string) (admitted bool, retryAfter time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Since(a.began)
 	pending := a.pending(now)
 	a.logChange(now, pending)
-	if a.gate.Admit(now, pending, customer) || open <= minOverloadedRequests {
+	if a.gate.Admit(now, pending, customer) || a.open() <= minOverloadedRequests {
 		return true, 0
 	}
 	a.refused++
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -50,10 +50,9 @@
 
 // New returns a Server. peers sends requests that are handed over to peers.
 func New(loop *runtime.Loop, targets, peers *upstream.Client, protocol Protocol, set *settings.Settings, log *zap.Logger) *Server {
-	return &Server{
-		loop: loop, targets: targets, peers: peers, peerKey: set.PeerKey, protocol: protocol, limits: set.Limits, log: log, metrics: newMetrics(),
-		admission: newAdmission(loop, log.Named(logring.InstanceLogger)),
-	}
+	s := &Server{loop: loop, targets: targets, peers: peers, peerKey: set.PeerKey, protocol: protocol, limits: set.Limits, log: log, metrics: newMetrics()}
+	s.admission = newAdmission(loop, s.ActiveRequests, log.Named(logring.InstanceLogger))
+	return s
 }
 
 // ActiveRequests returns the number of requests in progress.
@@ -106,7 +105,7 @@
 		s.refuseEarly(w, r, errkind.Unauthenticated, "")
 		return
 	}
-	if admitted, retryAfter := s.admission.admit(owner.Customer, s.activeRequests.Load()); !admitted {
+	if admitted, retryAfter := s.admission.admit(owner.Customer); !admitted {
 		s.refuseOverloaded(w, r, retryAfter)
 		return
 	}
