Make the tolerated wait for the processor a setting

limits.maxWorkWaitMillis, 30 by default: the bounds are what they were (two windows over 30 ms, a stall of 100 ms, all requests at 150 ms).

--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -12,19 +12,19 @@
 const (
 	// window is the time over which waits are averaged.
 	window = 50 * time.Millisecond
-	// tolerated is the mean wait of scheduled work up to which an instance is not
-	// short of processor time.
-	tolerated = 30 * time.Millisecond
 	// lateWindows is the number of successive windows in which the mean wait must be
 	// longer than tolerated for the instance to be short. A single pause, such as a
 	// garbage collection, is shorter.
 	lateWindows = 2
+	// stallRatio is how many times the tolerated wait work that was not begun must have
+	// waited, and two windows at least, for the instance to be short.
+	stallRatio = 3
+	// severeRatio is how many times the tolerated wait work must wait for all requests
+	// to be refused. Below it only those of customers with more than their share are.
+	severeRatio = 5
 	// staleWindows is the number of successive windows without observations after which
 	// earlier ones no longer count: nothing had to wait.
 	staleWindows = 4
-	// severe is the wait from which on all requests are refused. Below it only those of
-	// customers with more than their share are.
-	severe = 150 * time.Millisecond
 	// shareTolerance is how many times the mean number of requests a customer may have
 	// before it exceeds its share.
 	shareTolerance = 1.25
@@ -76,7 +76,7 @@
 	empty int
 }
 
-func (w *waits) endWindow() {
+func (w *waits) endWindow(tolerated time.Duration) {
 	if w.count == 0 {
 		if w.empty++; w.empty == staleWindows {
 			w.mean, w.late = 0, 0
@@ -96,6 +96,9 @@
 // Gate decides which requests are taken. All times are since one fixed moment. It is
 // not safe for concurrent use.
 type Gate struct {
+	// tolerated is the mean wait of work that is ready up to which the instance is not
+	// short of processor time.
+	tolerated time.Duration
 	// began is when the current window began.
 	began time.Duration
 	waits [sources]waits
@@ -103,8 +106,11 @@
 	customers map[string]*usage
 }
 
-// NewGate returns a Gate that has observed nothing.
-func NewGate() *Gate { return &Gate{customers: map[string]*usage{}} }
+// NewGate returns a Gate that has observed nothing, for an instance whose work may wait
+// for a time in the mean.
+func NewGate(tolerated time.Duration) *Gate {
+	return &Gate{tolerated: tolerated, customers: map[string]*usage{}}
+}
 
 // Observe records that work which became ready was begun after a wait.
 func (g *Gate) Observe(now time.Duration, s Source, wait time.Duration) {
@@ -119,7 +125,7 @@
 		return
 	}
 	for i := range g.waits {
-		g.waits[i].endWindow()
+		g.waits[i].endWindow(g.tolerated)
 	}
 	g.began = now
 }
@@ -139,7 +145,7 @@
 // oldest work that was not begun yet has waited.
 func (g *Gate) Short(now, pending time.Duration) bool {
 	g.endWindow(now)
-	short := pending >= lateWindows*window
+	short := pending >= max(lateWindows*window, stallRatio*g.tolerated)
 	for _, w := range g.waits {
 		short = short || w.late >= lateWindows
 	}
@@ -149,7 +155,7 @@
 // Admit reports whether a request of a customer is taken, and counts it then. pending
 // is how long the oldest work that was not begun yet has waited.
 func (g *Gate) Admit(now, pending time.Duration, customer string) bool {
-	if g.Short(now, pending) && (g.Wait(now, pending) >= severe || g.exceedsShare(now, customer)) {
+	if g.Short(now, pending) && (g.Wait(now, pending) >= severeRatio*g.tolerated || g.exceedsShare(now, customer)) {
 		return false
 	}
 	g.countRequest(now, customer)
--- a/fleet/gateway/admission.go
+++ b/fleet/gateway/admission.go
@@ -43,8 +43,8 @@
 // processor time.
 const shortLogPeriod = time.Second
 
-func newAdmission(loop *runtime.Loop, open func() int64, log *zap.Logger) *admission {
-	a := &admission{loop: loop, open: open, log: log, began: time.Now(), gate: overload.NewGate()}
+func newAdmission(loop *runtime.Loop, maxWorkWait time.Duration, open func() int64, log *zap.Logger) *admission {
+	a := &admission{loop: loop, open: open, log: log, began: time.Now(), gate: overload.NewGate(maxWorkWait)}
 	loop.SetWaitHandler(a.observe)
 	return a
 }
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -51,7 +51,7 @@
 // New returns a Server. peers sends requests that are handed over to peers.
 func New(loop *runtime.Loop, targets, peers *upstream.Client, protocol Protocol, set *settings.Settings, log *zap.Logger) *Server {
 	s := &Server{loop: loop, targets: targets, peers: peers, peerKey: set.PeerKey, protocol: protocol, limits: set.Limits, log: log, metrics: newMetrics()}
-	s.admission = newAdmission(loop, s.ActiveRequests, log.Named(logring.InstanceLogger))
+	s.admission = newAdmission(loop, settings.Millis(set.Limits.MaxWorkWaitMillis), s.ActiveRequests, log.Named(logring.InstanceLogger))
 	return s
 }
 
--- a/fleet/settings/settings.go
+++ b/fleet/settings/settings.go
@@ -65,6 +65,10 @@
 	MaxHeaderBytes int `json:"maxHeaderBytes" min:"1024" max:"1048576"`
 	// MaxStreams is the maximum number of concurrent requests.
 	MaxStreams int `json:"maxStreams" min:"1" max:"100000"`
+	// MaxWorkWaitMillis is how long work that is ready may wait for the processor in the
+	// mean, in milliseconds. An instance on a platform whose work waits longer refuses
+	// requests, and all of them at five times this wait.
+	MaxWorkWaitMillis int `json:"maxWorkWaitMillis" min:"1" max:"60000"`
 	// ReadTimeoutMillis is the maximum time to receive the headers of a request,
 	// and again the maximum time to receive its body, in milliseconds.
 	ReadTimeoutMillis int `json:"readTimeoutMillis" min:"10" max:"600000"`
@@ -92,7 +96,7 @@
 		Platform:     Platform{TimeoutMillis: 1000, FleetCallsPerSecond: 600},
 		LedgerShards: 4,
 		Limits: Limits{
-			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 32 << 10, MaxStreams: 2000,
+			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 32 << 10, MaxStreams: 2000, MaxWorkWaitMillis: 30,
 			ReadTimeoutMillis: 10_000, WriteTimeoutMillis: 20_000, IdleTimeoutMillis: 60_000, TargetSilenceMillis: 120_000, StopTimeoutMillis: 60_000,
 		},
 		LogLevel: "info",
