Answer a request whose body does not arrive at its time-out, and refusals before the body

Any refusal by the head alone (unknown path, unknown key, body too large) waited for the body as well.

Cause: readBody was bounded by readTimeoutMillis (10 s) and not by the request's time-out, and took its read deadline away afterwards; net/http reads the rest of a request's body before it sends a response, so even the 408 waited for bytes that never came.

Change: the body is read until the request's deadline at most. A response to a request whose body was not read goes out first; the rest is read afterwards for readTimeoutMillis, or not at all if the body was what took too long.

--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -177,7 +177,7 @@
 		header["User-Agent"] = []string{""} // prevents net/http from adding its own
 	}
 	x.server.protocol.SetTargetHeaders(header, TargetMetadata{
-		Target: d.Target, Customer: x.owner.Customer, TimeLeft: time.Until(x.arrived.Add(x.timeout())), LastEventID: x.lastEventID(),
+		Target: d.Target, Customer: x.owner.Customer, TimeLeft: time.Until(x.deadline()), LastEventID: x.lastEventID(),
 		Priority: x.priority(), Engine: x.worstCaseTokens() > 0,
 	})
 	req := &http.Request{
--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -63,7 +63,7 @@
 	x.bodyHash = x.hashBody()
 	x.log = x.server.log.With(zap.String("request", x.meta.AttemptID), zap.String("route", x.route.Name), zap.String("customer", x.owner.Customer),
 		zap.String("body", quarantine.ShortID(x.bodyHash)))
-	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.arrived.Add(x.timeout()), errTimeout)
+	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline(), errTimeout)
 	defer cancel()
 	x.serves = x.route.Destination(xxhash.Sum64String(cmp.Or(x.meta.Resumes, x.meta.AttemptID)))
 	arrival := x.arrival(x.handle)
--- a/fleet/gateway/handover.go
+++ b/fleet/gateway/handover.go
@@ -99,7 +99,7 @@
 	if resumes == "" && x.relay.events.lastID != "" {
 		resumes = x.meta.AttemptID
 	}
-	x.server.protocol.SetPeerHeaders(header, PeerMetadata{TimeLeft: time.Until(x.arrived.Add(x.timeout())), LastEventID: x.lastEventID(), Resumes: resumes})
+	x.server.protocol.SetPeerHeaders(header, PeerMetadata{TimeLeft: time.Until(x.deadline()), LastEventID: x.lastEventID(), Resumes: resumes})
 	attempts := strconv.Itoa(h.MaxAttempts)
 	req := &http.Request{
 		Method: x.r.Method, Host: x.r.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, RequestURI: x.r.RequestURI,
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -109,12 +109,12 @@
 		s.refuseOverloaded(w, r, retryAfter)
 		return
 	}
-	body, kind := s.readBody(w, r, index.Routing.CallerLimits)
-	if kind != errkind.None {
+	x := &exchange{server: s, w: w, r: r, meta: meta, route: route, index: index, owner: owner, arrived: arrived, handedOverAttempts: s.handedOverAttempts(r, meta.AttemptID)}
+	var kind errkind.Kind
+	if x.body, kind = s.readBody(w, r, index.Routing.CallerLimits, x.deadline()); kind != errkind.None {
 		s.refuseEarly(w, r, kind, "")
 		return
 	}
-	x := &exchange{server: s, w: w, r: r, meta: meta, route: route, index: index, owner: owner, body: body, arrived: arrived, handedOverAttempts: s.handedOverAttempts(r, meta.AttemptID)}
 	x.run()
 }
 
@@ -128,8 +128,8 @@
 	return index.KeyOwner(hex.EncodeToString(sum[:]))
 }
 
-// readBody reads the complete request body.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limits config.CallerLimits) ([]byte, errkind.Kind) {
+// readBody reads the complete request body, until the request's deadline at most.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limits config.CallerLimits, deadline time.Time) ([]byte, errkind.Kind) {
 	if r.ContentLength == 0 {
 		return nil, errkind.None
 	}
@@ -140,13 +140,15 @@
 	if r.ContentLength > limit {
 		return nil, errkind.BodyTooLarge
 	}
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(settings.Millis(s.limits.ReadTimeoutMillis)))
+	if longest := time.Now().Add(settings.Millis(s.limits.ReadTimeoutMillis)); longest.Before(deadline) {
+		deadline = longest
+	}
+	s.setReadDeadline(w, deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		s.setReadDeadline(w, time.Time{})
 		return body, errkind.None
 	case errors.As(err, &tooLarge):
 		return nil, errkind.BodyTooLarge
@@ -156,6 +158,30 @@
 	return nil, errkind.SlowSender
 }
 
+func (s *Server) setReadDeadline(w http.ResponseWriter, deadline time.Time) {
+	if err := http.NewResponseController(w).SetReadDeadline(deadline); err != nil {
+		s.log.Warn("read deadline not set", zap.Error(err))
+	}
+}
+
+// respondBeforeBody makes the response go out although the request's body may not
+// have arrived: without it, net/http reads the rest of the body first, for as long as
+// that takes. Afterwards the rest is read for readTimeoutMillis at most, or not at all
+// if the body took too long already.
+func (s *Server) respondBeforeBody(w http.ResponseWriter, r *http.Request, kind errkind.Kind) {
+	if r.ContentLength == 0 {
+		return
+	}
+	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+		s.log.Warn("response waits for the body", zap.Error(err))
+	}
+	if kind == errkind.SlowSender {
+		w.Header().Set("Connection", "close")
+		return
+	}
+	s.setReadDeadline(w, time.Now().Add(settings.Millis(s.limits.ReadTimeoutMillis)))
+}
+
 // refuseEarly sends an error response to a request that is not passed to the
 // core.
 func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, kind errkind.Kind, detail string) {
@@ -166,6 +192,7 @@
 
 func (s *Server) writeRefusal(w http.ResponseWriter, r *http.Request, refusal Refusal) {
 	s.metrics.refused.WithLabelValues(string(refusal.Kind)).Inc()
+	s.respondBeforeBody(w, r, refusal.Kind)
 	markRefusal(w, r, refusal.Kind, refusal.Ran)
 	s.protocol.Refuse(w, refusal)
 }
@@ -217,6 +244,9 @@
 	return timeout
 }
 
+// deadline returns when the request's time-out passes.
+func (x *exchange) deadline() time.Time { return x.arrived.Add(x.timeout()) }
+
 // hashBody returns a hash that identifies repeats of a request by method, URI,
 // customer and body.
 func (x *exchange) hashBody() string {
