Don't hold a request while the decision loop's queue is full

Callers would see: no answer at the time-out, for as long as the queue of events stays full. Loop.Post blocks then, on the goroutine that serves the request and watches its time-out; its arrival, its notices and its ends were posted so.

Change: a Poster for each request posts its events in order; what doesn't fit waits there, at most the events of one request, and not the request. Look-ups of addresses do the same.

--- a/fleet/gateway/addresses.go
+++ b/fleet/gateway/addresses.go
@@ -19,7 +19,7 @@
 func (a *AddressResolver) Addresses(r *http.Request, _ string) ([]string, time.Duration) {
 	handle, actions := a.loop.Open()
 	defer a.loop.Close(handle)
-	a.loop.Post(event.Event{AddressesRequested: &event.AddressesRequested{Query: handle}})
+	a.loop.NewPoster().Post(event.Event{AddressesRequested: &event.AddressesRequested{Query: handle}})
 	select {
 	case got := <-actions:
 		return got.AnswerAddresses.Addresses, got.AnswerAddresses.TTL
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -161,7 +161,7 @@
 	if notice == (TargetNotice{}) && !d.ReportNotice {
 		return
 	}
-	x.server.loop.Post(event.Event{TargetNotice: &event.TargetNotice{
+	x.poster.Post(event.Event{TargetNotice: &event.TargetNotice{
 		Target: d.Target, Address: d.Address, Wait: notice.Wait, Leaving: notice.Leaving, Brittle: notice.Brittle, Limited: notice.Limited, Limit: notice.Limit,
 		LimitUnusable: notice.LimitUnusable,
 	}})
@@ -369,7 +369,7 @@
 			events, werr := x.relayChunk(resp, buffer[:n])
 			if events && first {
 				first = false
-				x.server.loop.Post(event.Event{FirstToken: &event.FirstToken{Attempt: attempt}})
+				x.poster.Post(event.Event{FirstToken: &event.FirstToken{Attempt: attempt}})
 			}
 			if werr != nil {
 				return werr
--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -35,7 +35,10 @@
 	handedOverAttempts int
 	// arrived is when the request's header had been read.
 	arrived time.Time
-	handle  uint64
+	// poster posts the request's events to the core. They must not hold up the end of
+	// the request.
+	poster *runtime.Poster
+	handle uint64
 	// serves is the service that the request is routed to.
 	serves  string
 	actions <-chan event.Action
@@ -53,6 +56,7 @@
 // caller has left.
 func (x *exchange) run() {
 	loop := x.server.loop
+	x.poster = loop.NewPoster()
 	x.handle, x.actions = loop.Open()
 	complete := true
 	defer func() {
@@ -67,7 +71,7 @@
 	defer cancel()
 	x.serves = x.route.Destination(xxhash.Sum64String(cmp.Or(x.meta.Resumes, x.meta.AttemptID)))
 	arrival := x.arrival(x.handle)
-	loop.Post(event.Event{RequestArrived: &arrival})
+	x.poster.Post(event.Event{RequestArrived: &arrival})
 	for {
 		select {
 		case a := <-x.actions:
@@ -77,7 +81,7 @@
 		case <-ctx.Done():
 			complete = false
 			x.setAbandonKind(ctx)
-			go endAbandoned(loop, x.handle, x.actions)
+			go endAbandoned(loop, x.poster, x.handle, x.actions)
 			x.refuseAbandoned()
 			return
 		case <-loop.Ended():
@@ -93,7 +97,7 @@
 // abandon tells the core that the result of the request is no longer needed.
 func (x *exchange) abandon(ctx context.Context) {
 	x.setAbandonKind(ctx)
-	x.server.loop.Post(event.Event{CallerGone: &event.CallerGone{Request: x.handle}})
+	x.poster.Post(event.Event{CallerGone: &event.CallerGone{Request: x.handle}})
 }
 
 // setAbandonKind records why the request is abandoned.
@@ -117,17 +121,17 @@
 
 // endAbandoned tells the core that a request was answered without it, and executes
 // the core's actions on it until the core has ended it: nothing is sent any more.
-func endAbandoned(loop *runtime.Loop, handle uint64, actions <-chan event.Action) {
+func endAbandoned(loop *runtime.Loop, poster *runtime.Poster, handle uint64, actions <-chan event.Action) {
 	defer loop.Close(handle)
-	loop.Post(event.Event{CallerGone: &event.CallerGone{Request: handle}})
+	poster.Post(event.Event{CallerGone: &event.CallerGone{Request: handle}})
 	for {
 		select {
 		case a := <-actions:
 			switch {
 			case a.Dispatch != nil:
-				loop.Post(event.Event{AttemptEnded: &event.AttemptEnded{Attempt: a.Dispatch.Attempt, Outcome: event.AttemptNotStarted, Unsent: true, UsageKnown: true}})
+				poster.Post(event.Event{AttemptEnded: &event.AttemptEnded{Attempt: a.Dispatch.Attempt, Outcome: event.AttemptNotStarted, Unsent: true, UsageKnown: true}})
 			case a.HandOver != nil:
-				loop.Post(event.Event{HandOverEnded: &event.HandOverEnded{Request: handle, Refused: true}})
+				poster.Post(event.Event{HandOverEnded: &event.HandOverEnded{Request: handle, Refused: true}})
 			case a.Refuse != nil, a.ReleaseAnswer != nil, a.ReplayAnswer != nil:
 				return
 			}
@@ -146,7 +150,7 @@
 		if end.Outcome == event.AttemptNotStarted && ctx.Err() != nil {
 			x.abandon(ctx) // before the core tries another target
 		}
-		x.server.loop.Post(event.Event{AttemptEnded: &end})
+		x.poster.Post(event.Event{AttemptEnded: &end})
 		return x.handleAttemptEnd(end)
 	case a.HandOver != nil:
 		return x.handOver(ctx, a.HandOver)
--- a/fleet/gateway/handover.go
+++ b/fleet/gateway/handover.go
@@ -84,7 +84,7 @@
 	} else if ctx.Err() != nil && (end.Refused || end.Lost) {
 		x.abandon(ctx) // before the core tries another peer
 	}
-	x.server.loop.Post(event.Event{HandOverEnded: &end})
+	x.poster.Post(event.Event{HandOverEnded: &end})
 	if cancelled {
 		x.refuseCancelled()
 	}
--- a/fleet/runtime/loop.go
+++ b/fleet/runtime/loop.go
@@ -166,14 +166,27 @@
 // longer processed then.
 func (l *Loop) Ended() <-chan struct{} { return l.ended }
 
-// Post queues an event. The event is dropped once the loop has ended.
-func (l *Loop) Post(e event.Event) {
+// Post queues an event and blocks while the queue is full. The event is dropped once
+// the loop has ended. What serves a request uses a Poster.
+func (l *Loop) Post(e event.Event) { l.post(postedEvent{e, time.Now()}) }
+
+func (l *Loop) post(e postedEvent) {
 	select {
-	case l.events <- postedEvent{e, time.Now()}:
+	case l.events <- e:
 	case <-l.ended:
 	}
 }
 
+// tryPost queues an event unless the queue is full.
+func (l *Loop) tryPost(e postedEvent) bool {
+	select {
+	case l.events <- e:
+		return true
+	default:
+		return false
+	}
+}
+
 // Open returns a new handle and the channel of its actions.
 func (l *Loop) Open() (uint64, <-chan event.Action) {
 	handle := l.lastHandle.Add(1)
