Answer a request at its time-out while its lost target is examined

Callers saw: no answer at the time-out after a target had broken off. Whoever lost the connection to a target asked, on the goroutine that serves the request, whether the target refuses new ones (twice 250 ms) and whether witnesses accept one (250 ms each), whatever time the request had left; with 25 targets silent at once these add up to a second.

Change: the examination (fleet/gateway/examination.go, moved out of attempt.go) runs beside the request, which waits for it until its time-out at most; the core gets the end of the attempt with the examined outcome as before, after the word that the caller has gone, so that it starts nothing more. An answer without framing, of which it isn't known at the time-out whether its target had ended, is broken off. The log tells the time of the examination (examined) and the age of refusals before the core.

--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -8,7 +8,6 @@
 	"mime"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
@@ -87,66 +86,54 @@
 	r.lastAt = now
 }
 
-// attempt runs one attempt at a target and relays its response.
-func (x *exchange) attempt(ctx context.Context, d *event.Dispatch) event.AttemptEnded {
-	end := event.AttemptEnded{Attempt: d.Attempt, UsageKnown: true}
+// attempt runs one attempt at a target and relays its response. If its outcome depends
+// on what became of the target, attempt returns the examination that finds it out.
+func (x *exchange) attempt(ctx context.Context, d *event.Dispatch) (*attemptResult, examination) {
+	result := &attemptResult{
+		AttemptEnded: event.AttemptEnded{Attempt: d.Attempt, UsageKnown: true}, dispatch: d, began: time.Now(), resumedAfter: x.lastEventID(),
+	}
 	if ctx.Err() != nil {
-		end.Outcome, end.Unsent = event.AttemptNotStarted, true
-		return end
+		result.Outcome, result.Unsent = event.AttemptNotStarted, true
+		return result, nil
 	}
-	began, after, events := time.Now(), x.lastEventID(), x.relay.events.count
+	events := x.relay.events.count
 	resp, err := x.server.targets.Do(ctx, d.Address, x.targetRequest(ctx, d), x.body)
-	status := 0
+	var examine examination
 	if err != nil {
-		end.Outcome = x.classifyError(ctx, d, err)
-		end.Unsent = errors.Is(err, upstream.ErrUnsent)
+		result.err, result.Unsent = err, errors.Is(err, upstream.ErrUnsent)
+		examine = x.classifyError(ctx, result)
 	} else {
-		status = resp.StatusCode
+		result.status = resp.StatusCode
 		x.reportNotice(d, resp)
-		body := &trackedBody{ReadCloser: resp.Body}
-		if isUnframed(resp) {
-			body.targetEnded = func() bool { return x.targetEnded(ctx, d.Address) }
-		}
-		resp.Body = body
-		x.handleResponse(ctx, resp, &end)
-		_ = body.Close()
-		switch {
-		case end.Outcome != event.AttemptFailed || body.err == nil:
-		case errors.Is(body.err, errTargetEnded):
-			end.Outcome = x.lostOutcome(ctx, d, true)
-		default:
-			end.Outcome = x.classifyLostConnection(ctx, d)
-		}
+		examine = x.handleTargetResponse(ctx, resp, result)
+	}
+	if result.Outcome == event.AttemptCancelled && x.r.Context().Err() != nil && x.relay.events.count == events {
+		examine = x.examineCancelled(ctx)
 	}
-	if end.Outcome == event.AttemptCancelled && x.r.Context().Err() != nil && x.relay.events.count == events {
-		cancelled := time.Now()
-		time.Sleep(cancelledLookDelay)
-		end.TargetEnded = x.lostOutcome(ctx, d, x.targetEnded(ctx, d.Address)) == event.AttemptCrashed
-		end.Ago = time.Since(cancelled)
-	}
-	if end.Outcome == event.AttemptCancelled && err != nil {
-		end.Ago += upstream.HeadGrace
-	}
-	end.Usage = x.tokenUsage(end)
-	end.BytesDelivered = x.relay.started
-	x.log.Info("attempt ended", zap.String("target", d.Target), zap.String("outcome", string(end.Outcome)), zap.Int("status", status),
-		zap.Int64("usage", end.Usage), zap.Int("events", x.relay.events.count), zap.Duration("took", time.Since(began)),
-		zap.Duration("waited", began.Sub(x.arrived)), zap.Duration("first", x.relay.timeToFirst), zap.Duration("pause", x.relay.longestGap), zap.Int64("prompt", x.meta.PromptTokens),
-		zap.String("version", d.Version), zap.String("resumes", x.meta.Resumes), zap.String("after_event", after), x.lostParts(end.Outcome), zap.Error(err))
-	return end
+	if result.Outcome == event.AttemptCancelled && err != nil {
+		result.Ago = upstream.HeadGrace
+	}
+	result.Usage = x.tokenUsage(result.AttemptEnded)
+	result.BytesDelivered = x.relay.started
+	return result, examine
 }
 
-// lostParts returns the log field with the prompt parts of an attempt that ended
-// with its target.
-func (x *exchange) lostParts(outcome event.AttemptOutcome) zap.Field {
-	if outcome != event.AttemptCrashed {
-		return zap.Skip()
+// handleTargetResponse relays the response of a target.
+func (x *exchange) handleTargetResponse(ctx context.Context, resp *http.Response, result *attemptResult) examination {
+	body := &trackedBody{ReadCloser: resp.Body}
+	if isUnframed(resp) {
+		body.checkTarget = func() error { return x.checkTargetLives(ctx, result.dispatch.Address) }
 	}
-	ids := make([]string, len(x.meta.PromptParts))
-	for i, p := range x.meta.PromptParts {
-		ids[i] = strconv.FormatUint(p.ID, 16)
+	resp.Body = body
+	x.handleResponse(ctx, resp, &result.AttemptEnded)
+	_ = body.Close()
+	switch {
+	case result.Outcome != event.AttemptFailed || body.err == nil:
+		return nil
+	case errors.Is(body.err, errTargetEnded):
+		return x.examineEnded(ctx)
 	}
-	return zap.Strings("parts", ids)
+	return x.examineLost(ctx)
 }
 
 // reportNotice reports what a target says of itself in the head of a response.
@@ -204,78 +191,6 @@
 	return x.meta.LastEventID
 }
 
-// isUnframed reports whether only the end of the connection ends a response.
-func isUnframed(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
-// errTargetEnded reports that a response without framing ended because its target
-// did.
-var errTargetEnded = errors.New("the target ended during an answer without length or chunks")
-
-// trackedBody keeps the error that ended the reading of a body before its end.
-type trackedBody struct {
-	io.ReadCloser
-	// targetEnded, if set, is called at the end of the connection: the body is only
-	// complete if the target has not ended.
-	targetEnded func() bool
-	err         error
-}
-
-func (b *trackedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF && b.targetEnded != nil && b.targetEnded() {
-		err = errTargetEnded
-	}
-	if err != nil && err != io.EOF {
-		b.err = err
-	}
-	return n, err
-}
-
-// classifyLostConnection returns the outcome of an attempt whose connection was
-// lost, before or after the head of the response: a target that has ended
-// refuses a new connection, one that only broke off the response accepts it.
-func (x *exchange) classifyLostConnection(ctx context.Context, d *event.Dispatch) event.AttemptOutcome {
-	return x.lostOutcome(ctx, d, x.targetEnded(ctx, d.Address))
-}
-
-// lostOutcome returns the outcome of an attempt whose connection was lost, given
-// whether its target refuses new ones. That shows that the target has ended only if
-// one of the witnesses accepts a connection, or if there are none.
-func (x *exchange) lostOutcome(ctx context.Context, d *event.Dispatch, refuses bool) event.AttemptOutcome {
-	if !refuses {
-		return event.AttemptFailed
-	}
-	for _, w := range d.Witnesses {
-		if x.server.probe(context.WithoutCancel(ctx), w) {
-			return event.AttemptCrashed
-		}
-	}
-	if len(d.Witnesses) == 0 {
-		return event.AttemptCrashed
-	}
-	x.log.Info("no target accepts a connection", zap.String("target", d.Target), zap.Int("witnesses", len(d.Witnesses)))
-	return event.AttemptFailed
-}
-
-func (x *exchange) targetEnded(ctx context.Context, address string) bool {
-	return x.server.targets.Refuses(context.WithoutCancel(ctx), address)
-}
-
-// classifyError returns the outcome of an attempt that got no response.
-func (x *exchange) classifyError(ctx context.Context, d *event.Dispatch, err error) event.AttemptOutcome {
-	switch {
-	case errors.Is(err, upstream.ErrUnsent):
-		return event.AttemptNotStarted
-	case ctx.Err() != nil:
-		return event.AttemptCancelled
-	case errors.Is(err, upstream.ErrResponseMismatch), errors.Is(err, upstream.ErrHeadTooLong):
-		return event.AttemptFailed
-	}
-	return x.classifyLostConnection(ctx, d)
-}
-
 // handleResponse relays a response, or sets the outcome of an attempt that the
 // target did not run.
 func (x *exchange) handleResponse(ctx context.Context, resp *http.Response, end *event.AttemptEnded) {
--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -145,13 +145,7 @@
 func (x *exchange) handleAction(ctx context.Context, a event.Action) bool {
 	switch {
 	case a.Dispatch != nil:
-		end := x.attempt(ctx, a.Dispatch)
-		x.mayHaveRun = x.mayHaveRun || end.Outcome != event.AttemptNotStarted
-		if end.Outcome == event.AttemptNotStarted && ctx.Err() != nil {
-			x.abandon(ctx) // before the core tries another target
-		}
-		x.poster.Post(event.Event{AttemptEnded: &end})
-		return x.handleAttemptEnd(end)
+		return x.runAttempt(ctx, a.Dispatch)
 	case a.HandOver != nil:
 		return x.handOver(ctx, a.HandOver)
 	case a.Refuse != nil:
@@ -163,6 +157,39 @@
 	return false
 }
 
+// runAttempt makes an attempt and reports whether the request is complete. The request
+// does not wait for the examination of a target beyond its time-out; the core does.
+func (x *exchange) runAttempt(ctx context.Context, d *event.Dispatch) bool {
+	result, examination := x.attempt(ctx, d)
+	x.mayHaveRun = x.mayHaveRun || result.Outcome != event.AttemptNotStarted
+	if result.Outcome == event.AttemptNotStarted && ctx.Err() != nil {
+		x.abandon(ctx) // before the core tries another target
+	}
+	if examination == nil {
+		x.examine(result, nil)
+		x.poster.Post(event.Event{AttemptEnded: &result.AttemptEnded})
+		return x.handleAttemptEnd(result.AttemptEnded)
+	}
+	examined := make(chan event.AttemptEnded, 1)
+	go func() {
+		x.examine(result, examination)
+		examined <- result.AttemptEnded
+	}()
+	select {
+	case end := <-examined:
+		x.poster.Post(event.Event{AttemptEnded: &end})
+		return x.handleAttemptEnd(end)
+	case <-ctx.Done():
+		x.poster.Post(event.Event{CallerGone: &event.CallerGone{Request: x.handle}})
+		go func() {
+			end := <-examined
+			x.poster.Post(event.Event{AttemptEnded: &end})
+		}()
+		x.refuseCancelled()
+		return true
+	}
+}
+
 // handleAttemptEnd handles the end of an attempt and reports whether it also
 // ends the request: either the response was relayed, or the attempt was
 // cancelled.
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -75,34 +75,34 @@
 
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
 	defer s.activeRequests.Add(-1)
 	s.requests.Add(1)
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if s.activeRequests.Add(1) > int64(s.limits.MaxStreams) {
-		s.refuseEarly(w, r, errkind.TooManyStreams, "")
+		s.refuseEarly(w, r, errkind.TooManyStreams, arrived, "")
 		return
 	}
-	arrived := time.Now()
 	meta, err := s.protocol.ReadMetadata(r)
 	if err != nil {
-		s.refuseEarly(w, r, errkind.InvalidRequest, err.Error())
+		s.refuseEarly(w, r, errkind.InvalidRequest, arrived, err.Error())
 		return
 	}
 	index := s.loop.Index()
 	if index == nil {
-		s.refuseEarly(w, r, errkind.NotReady, "")
+		s.refuseEarly(w, r, errkind.NotReady, arrived, "")
 		return
 	}
 	route := index.Route(r.Host, r.URL.Path)
 	if route == nil {
-		s.refuseEarly(w, r, errkind.UnknownPath, "")
+		s.refuseEarly(w, r, errkind.UnknownPath, arrived, "")
 		return
 	}
 	owner, known := ownerOf(index, route, meta.APIKey)
 	if !known {
-		s.refuseEarly(w, r, errkind.Unauthenticated, "")
+		s.refuseEarly(w, r, errkind.Unauthenticated, arrived, "")
 		return
 	}
 	if admitted, retryAfter := s.admission.admit(owner.Customer); !admitted {
@@ -112,7 +112,7 @@
 	x := &exchange{server: s, w: w, r: r, meta: meta, route: route, index: index, owner: owner, arrived: arrived, handedOverAttempts: s.handedOverAttempts(r, meta.AttemptID)}
 	var kind errkind.Kind
 	if x.body, kind = s.readBody(w, r, index.Routing.CallerLimits, x.deadline()); kind != errkind.None {
-		s.refuseEarly(w, r, kind, "")
+		s.refuseEarly(w, r, kind, arrived, "")
 		return
 	}
 	x.run()
@@ -184,9 +184,9 @@
 
 // refuseEarly sends an error response to a request that is not passed to the
 // core.
-func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, kind errkind.Kind, detail string) {
+func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, kind errkind.Kind, arrived time.Time, detail string) {
 	after := time.Duration(errkind.Lookup(kind).RetryAfterSeconds) * time.Second
-	s.log.Info("request refused", zap.String("kind", string(kind)), zap.String("host", r.Host), zap.String("path", r.URL.Path), zap.String("detail", detail))
+	s.log.Info("request refused", zap.String("kind", string(kind)), zap.Duration("age", time.Since(arrived)), zap.String("host", r.Host), zap.String("path", r.URL.Path), zap.String("detail", detail))
 	s.writeRefusal(w, r, Refusal{Kind: kind, Ran: errkind.RanNo, RetryAfter: after})
 }
 
