Don't let an instance that is out of step join a stream to another version

Cause: without a record of the stream, an instance trusts that a version is the only one if it has seen no other for a minute and any peer has replied, whatever that peer has seen. What an instance sees while it is out of step is old; a peer that knew two versions said 'not known, not sole', which counted as a reply like any other.

Change: a reply names the versions that its sender has seen within the life of a stream. A stream without a record goes on only if this instance and all that reply have seen one and the same, and more than half of those asked replied and know the service's targets. A caller that doesn't name its stream is no exception: peers are asked there, too.

The three new cases of TestStreamWithoutRecordGoesOnOnlyAtTheOnlyVersion failed before (found Known true where false is asked) and pass.

--- a/core/streamorigin/keeper.go
+++ b/core/streamorigin/keeper.go
@@ -41,6 +41,9 @@
 	// Sole is set if the sender does not know the origin, but has seen targets of
 	// that in the record alone for as long as streams last.
 	Sole bool `json:"sole,omitempty"`
+	// Versions are those of the service's targets that the sender has seen within the
+	// life of a stream. They are left out if it knows the origin.
+	Versions []string `json:"versions,omitempty"`
 }
 
 // Keeper records where the streams of an instance begin, and finds out where those
@@ -86,14 +89,17 @@
 // brought the stream's first event, or empty if the caller does not name it.
 func (k *Keeper) Find(now time.Duration, request uint64, serves, attempt string) (Answer, bool) {
 	stream := Key(attempt)
-	if o, ok := k.table.Lookup(stream); ok {
+	if attempt == "" {
+		stream = Key("\x00" + serves) // names no stream; only for the replies
+	} else if o, ok := k.table.Lookup(stream); ok {
 		return Answer{Request: request, Origin: o, Known: true}, true
 	}
 	peers := k.peers(stream, Asked)
-	if attempt == "" || len(peers) == 0 {
-		return k.withoutRecord(now, Answer{Request: request, serves: serves}, len(peers) > 0 || k.fleet.Alone()), true
+	a := Answer{Request: request, serves: serves, unnamed: attempt == "", asked: len(peers)}
+	if len(peers) == 0 {
+		return k.withoutRecord(now, a), true
 	}
-	k.questions.ask(now, Answer{Request: request, serves: serves}, stream, peers)
+	k.questions.ask(now, a, stream, peers)
 	for _, peer := range peers {
 		k.fleet.SendOrigin(peer, Message{Request: &Request{stream, serves}})
 	}
@@ -106,18 +112,22 @@
 	case m.Record != nil:
 		k.table.Record(now, *m.Record)
 	case m.Request != nil:
-		o, known := k.table.Lookup(m.Request.Stream)
-		sole := false
-		if !known {
-			o, sole = k.sole(now, m.Request.Serves)
-		}
-		k.fleet.SendOrigin(from, Message{Reply: &Reply{Record{m.Request.Stream, o}, known, sole}})
+		k.fleet.SendOrigin(from, Message{Reply: k.reply(now, m.Request)})
 	case m.Reply != nil:
 		return k.complete(now, k.questions.reply(from, m.Reply))
 	}
 	return nil
 }
 
+// reply answers a peer's request.
+func (k *Keeper) reply(now time.Duration, m *Request) *Reply {
+	if o, known := k.table.Lookup(m.Stream); known {
+		return &Reply{Record: Record{m.Stream, o}, Known: true}
+	}
+	o, sole := k.sole(now, m.Serves)
+	return &Reply{Record: Record{m.Stream, o}, Sole: sole, Versions: k.versions(now, m.Serves)}
+}
+
 // Expire returns the answers to the questions that have waited too long.
 func (k *Keeper) Expire(now time.Duration) []Answer {
 	return k.complete(now, k.questions.expire(now))
@@ -129,7 +139,7 @@
 func (k *Keeper) complete(now time.Duration, answers []Answer) []Answer {
 	for i, a := range answers {
 		if !a.Known {
-			answers[i] = k.withoutRecord(now, a, a.Replies > 0)
+			answers[i] = k.withoutRecord(now, a)
 		}
 	}
 	return answers
@@ -137,22 +147,36 @@
 
 // withoutRecord answers for a stream of which no record is found. It may go on only
 // if all targets have had the same software for as long as streams last, as far as
-// an instance knows that is not cut off from its peers. One that has not watched the
-// targets for so long needs the word of a peer that has.
-func (k *Keeper) withoutRecord(now time.Duration, a Answer, connected bool) Answer {
+// this instance and most of the peers that it asked have seen. An instance that is cut
+// off or paused misses versions that others know. One that has not watched the targets
+// for so long needs the word of a peer that has.
+func (k *Keeper) withoutRecord(now time.Duration, a Answer) Answer {
 	o, only := k.only(now, a.serves)
-	if connected && only && (k.established(now) || a.sole == o) {
+	connected := a.informed*2 > a.asked || a.asked == 0 && k.fleet.Alone()
+	agreed := !slices.ContainsFunc(a.versions, func(v string) bool { return v != o.Version })
+	established := k.established(now) || a.sole == o && !a.unnamed
+	if only && connected && agreed && established {
 		a.Origin, a.Known = o, true
 	}
 	return a
 }
 
-// only returns the one origin that this instance has seen of a service.
-func (k *Keeper) only(now time.Duration, serves string) (Origin, bool) {
+// versions returns the versions of a service's targets that this instance has seen
+// within the life of a stream.
+func (k *Keeper) versions(now time.Duration, serves string) []string {
 	for _, version := range k.fleet.TargetVersions(serves) {
 		k.table.Served(now, Origin{serves, version})
 	}
-	return k.table.Only(now, serves)
+	return k.table.Versions(now, serves)
+}
+
+// only returns the one origin that this instance has seen of a service.
+func (k *Keeper) only(now time.Duration, serves string) (Origin, bool) {
+	seen := k.versions(now, serves)
+	if len(seen) != 1 {
+		return Origin{}, false
+	}
+	return Origin{serves, seen[0]}, true
 }
 
 // sole is only for an instance that has watched the targets for long enough.
--- a/core/streamorigin/questions.go
+++ b/core/streamorigin/questions.go
@@ -26,9 +26,16 @@
 	Known  bool
 	// Replies is the number of peers that replied.
 	Replies int
-	serves  string
-	// sole is the origin that a peer has seen alone.
-	sole Origin
+	// asked is the number of peers that were asked, and informed the number of those
+	// that replied and know the service's targets.
+	asked, informed int
+	serves          string
+	// unnamed is set if the caller does not name the stream.
+	unnamed bool
+	// sole is the origin that a peer has seen alone, and versions are all that the
+	// peers have seen.
+	sole     Origin
+	versions []string
 }
 
 // questions holds the open questions of one instance.
@@ -48,8 +55,13 @@
 		}
 		x.open = slices.Delete(x.open, i, i+1)
 		x.answer.Replies++
+		x.answer.versions = append(x.answer.versions, m.Versions...)
 		if m.Sole {
 			x.answer.sole = m.Origin
+			x.answer.versions = append(x.answer.versions, m.Origin.Version)
+		}
+		if m.Sole || len(m.Versions) > 0 {
+			x.answer.informed++
 		}
 		if m.Known {
 			x.answer.Origin, x.answer.Known = m.Origin, true
--- a/core/streamorigin/streamorigin.go
+++ b/core/streamorigin/streamorigin.go
@@ -119,21 +119,19 @@
 // Served records that a target of an origin served at a time.
 func (t *Table) Served(now time.Duration, o Origin) { t.versions[o] = now }
 
-// Only returns the origin of all streams of a service, if the service had targets
-// of one version alone for as long as streams last. That a version ran before this
-// instance started is not known here.
-func (t *Table) Only(now time.Duration, serves string) (Origin, bool) {
-	var found []Origin
+// Versions returns the versions of a service's targets that served within the life of
+// a stream, in order. That a version ran before this instance started is not known
+// here.
+func (t *Table) Versions(now time.Duration, serves string) []string {
+	var found []string
 	for o, at := range t.versions {
 		switch {
 		case now-at >= recordAge:
 			delete(t.versions, o)
 		case o.Serves == serves:
-			found = append(found, o)
+			found = append(found, o.Version)
 		}
 	}
-	if len(found) != 1 {
-		return Origin{}, false
-	}
-	return found[0], true
+	slices.Sort(found)
+	return found
 }
--- a/core/streamorigin/streamorigin_test.go
+++ b/core/streamorigin/streamorigin_test.go
@@ -23,12 +23,14 @@
 	versions []string
 	// silent are the instances that receive nothing; they still count as live.
 	silent map[string]bool
+	// stale are the versions that instances which are out of step see instead.
+	stale map[string][]string
 	// answers are those that the keepers returned.
 	answers []Answer
 }
 
 func newTestFleet(size int) *testFleet {
-	f := &testFleet{now: time.Hour, keepers: map[string]*Keeper{}, versions: []string{"v1", "v1.1"}, silent: map[string]bool{}}
+	f := &testFleet{now: time.Hour, keepers: map[string]*Keeper{}, versions: []string{"v1", "v1.1"}, silent: map[string]bool{}, stale: map[string][]string{}}
 	for i := range size {
 		name := fmt.Sprint("n", i)
 		f.names = append(f.names, name)
@@ -49,9 +51,15 @@
 	name string
 }
 
-func (m member) LiveInstances() []string        { return m.names }
-func (m member) Alone() bool                    { return len(m.keepers) == 1 }
-func (m member) TargetVersions(string) []string { return m.versions }
+func (m member) LiveInstances() []string { return m.names }
+func (m member) Alone() bool             { return len(m.keepers) == 1 }
+
+func (m member) TargetVersions(string) []string {
+	if stale, ok := m.stale[m.name]; ok {
+		return stale
+	}
+	return m.versions
+}
 
 func (m member) SendOrigin(peer string, message Message) {
 	if k := m.keepers[peer]; k != nil && !m.silent[peer] && !m.silent[m.name] {
@@ -164,6 +172,25 @@
 			f.versions = []string{"v1.1"}
 			So(f.find("n1", "unknown").Known, ShouldBeFalse)
 		})
+		Convey("must not at an instance that is out of step, while others have seen another version", func() {
+			f.stale["n1"] = []string{"v1"}
+			So(f.find("n1", "unknown").Known, ShouldBeFalse)
+			So(f.find("n1", "").Known, ShouldBeFalse)
+		})
+		Convey("must not if a peer has seen only another version", func() {
+			f.stale["n1"] = []string{"v1"}
+			f.versions = []string{"v1.1"}
+			So(f.find("n1", "unknown").Known, ShouldBeFalse)
+		})
+		Convey("must not if most of the peers that are asked don't reply", func() {
+			f.versions = []string{"v1"}
+			f.silent["n0"], f.silent["n2"], f.silent["n3"] = true, true, true
+			So(f.find("n1", "unknown").Known, ShouldBeFalse)
+			So(f.find("n1", "").Known, ShouldBeFalse)
+			delete(f.silent, "n0")
+			delete(f.silent, "n2")
+			So(f.find("n1", "unknown").Known, ShouldBeTrue)
+		})
 		Convey("may at the only instance of a fleet", func() {
 			alone := newTestFleet(1)
 			alone.versions = []string{"v1"}
