Don't name instances that have said that they stop, until a later incarnation speaks

Cause: that an instance stops was believed for 5 s after its last word. Then only a report of its silence keeps it from being named, and where the instances that monitor it have left as well, nobody reports it. Its entry stays in the store. An older list that brought an entry back made its instance live for 5 s, too.

A departure is a log line. It replaces two fields of a peer.

--- /dev/null
+++ b/core/node/departure_test.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"plantainfield.example/core/event"
+)
+
+// hearOthers lets a time pass in which all peers but one send heartbeats.
+func (h *hosted) hearOthers(d time.Duration, entries []event.Instance, silent string) {
+	for end := h.now + d; h.now < end; {
+		for _, in := range entries {
+			if in.Name != silent {
+				h.hear(in.Name, event.PeerMessage{Heartbeat: &event.Heartbeat{}})
+			}
+		}
+		h.advance(500 * time.Millisecond)
+	}
+}
+
+// fewInstances returns a hosted node in a fleet of itself and three others, whose
+// entries name their incarnation "1".
+func fewInstances() (*hosted, []event.Instance) {
+	h := newHosted()
+	var entries []event.Instance
+	for _, name := range []string{"n2", "n3", "n4"} {
+		entries = append(entries, event.Instance{
+			Name: name, Role: event.RoleRouter, State: event.StateLive, Incarnation: "1",
+			Address: name + ":1", PeerAddress: name + ":2", DatagramAddress: name + ":3",
+		})
+	}
+	h.list(false, append(entries, h.node.members.self)...)
+	h.hearOthers(time.Second, entries, "")
+	return h, entries
+}
+
+func TestInstanceThatDepartedIsNotNamedAgain(t *testing.T) {
+	Convey("Given a fleet of which one instance says that it stops", t, func() {
+		h, entries := fewInstances()
+		So(h.addresses(), ShouldContain, "n2:1")
+		monitorsSilent := func() { h.node.members.peers["n2"].silentAt = 0 } // its monitors have left as well
+		Convey("it is not named however long ago it said so, and though its entry stays", func() {
+			h.hear("n2", event.PeerMessage{Heartbeat: &event.Heartbeat{Stopping: true}})
+			for range 10 {
+				h.hearOthers(4*time.Second, entries, "n2")
+				monitorsSilent()
+				So(h.addresses(), ShouldNotContain, "n2:1")
+			}
+			Convey("nor after an older list has lacked it and brought it back", func() {
+				h.list(false, entries[1:]...)
+				h.list(false, append(entries, h.node.members.self)...)
+				So(h.addresses(), ShouldNotContain, "n2:1")
+			})
+			Convey("nor after an older message of its own arrives", func() {
+				h.hear("n2", event.PeerMessage{Heartbeat: &event.Heartbeat{}})
+				So(h.addresses(), ShouldNotContain, "n2:1")
+			})
+			Convey("but at once when a later incarnation is listed", func() {
+				later := append([]event.Instance{}, entries...)
+				later[0].Incarnation = "2"
+				h.list(false, append(later, h.node.members.self)...)
+				h.step(event.Event{PeerReceived: &event.PeerReceived{From: "n2", Incarnation: "2", Message: event.PeerMessage{Heartbeat: &event.Heartbeat{}}}})
+				So(h.addresses(), ShouldContain, "n2:1")
+			})
+		})
+		Convey("nor if only a peer has told of it, before the instance was listed", func() {
+			h.hear("n3", event.PeerMessage{Heartbeat: &event.Heartbeat{Facts: []event.Fact{{Kind: event.FactStopping, Name: "n9", Incarnation: "1"}}}})
+			h.hearOthers(10*time.Second, entries, "")
+			late := event.Instance{Name: "n9", Role: event.RoleRouter, State: event.StateLive, Incarnation: "1", Address: "n9:1", PeerAddress: "n9:2"}
+			h.list(false, append(entries, late, h.node.members.self)...)
+			So(h.addresses(), ShouldNotContain, "n9:1")
+		})
+	})
+}
--- a/core/node/gossip.go
+++ b/core/node/gossip.go
@@ -65,13 +65,18 @@
 			n.setLimit(t, f.Limited, f.Limit, f.Confirmed)
 		}
 	}
+	if k.Kind == event.FactStopping {
+		n.peerDeparted(k.Name, k.Incarnation)
+	}
 	p := n.members.peers[k.Name]
 	if p == nil {
 		return
 	}
 	switch k.Kind {
 	case event.FactStopping:
-		p.stoppingAt, p.stopping = max(p.stoppingAt, f.Confirmed), true
+		if p.incarnation == "" {
+			n.setIncarnation(p, k.Incarnation)
+		}
 	case event.FactSilent:
 		p.silentAt = max(p.silentAt, f.Confirmed)
 	case event.FactAlive:
@@ -190,9 +195,8 @@
 	if hb.PeerAddress != "" && !p.listed {
 		p.PeerAddress = hb.PeerAddress
 	}
-	p.stopping = hb.Stopping
 	if hb.Stopping {
-		p.stoppingAt = n.now
+		n.peerDeparted(p.Name, p.incarnation)
 		n.recordFact(gossip.Key{Kind: event.FactStopping, Name: p.Name, Incarnation: p.incarnation}, n.now)
 	}
 	for _, f := range hb.Facts {
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"plantainfield.example/core/departure"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/gossip"
 	"plantainfield.example/core/peerload"
@@ -51,12 +52,9 @@
 	// heard directly only now and then.
 	incarnation string
 	generation  uint64
-	stopping    bool
-	// stoppingAt and silentAt are when it was last confirmed that the peer is
-	// stopping or silent.
-	stoppingAt time.Duration
-	silentAt   time.Duration
-	loads      peerload.Peer
+	// silentAt is when it was last confirmed that the peer is silent.
+	silentAt time.Duration
+	loads    peerload.Peer
 }
 
 // memberState is the fleet as this instance knows it.
@@ -68,6 +66,7 @@
 	// the list may lack peers as well.
 	selfListed bool
 	facts      gossip.Facts
+	departures departure.Registry
 	// burstDue is set if peers should learn of a change before the next
 	// heartbeat.
 	burstDue       bool
@@ -246,15 +245,23 @@
 
 // live reports whether the peer's address may be given to callers.
 func (n *Node) live(p *peer) bool {
-	switch {
-	case !p.listed || p.State == event.StateLeaving:
-		return false
-	case p.stopping && n.now-p.stoppingAt < gossip.FactTimeout:
+	if !p.listed || p.State == event.StateLeaving || n.departed(p) {
 		return false
 	}
 	return n.reachable(p)
 }
 
+// departed reports whether the peer has said that it stops, and has not started again
+// since.
+func (n *Node) departed(p *peer) bool { return n.members.departures.Departed(p.Name, p.incarnation) }
+
+// peerDeparted records that an incarnation of an instance stops.
+func (n *Node) peerDeparted(name, incarnation string) {
+	if n.members.departures.Record(name, incarnation) {
+		n.logChange("instance departed", "instance", name, "incarnation", incarnation)
+	}
+}
+
 // reachable reports whether there is no evidence that the peer is down: no
 // instance has reported it as silent since its last sign of life, and this
 // instance hears from peers.
@@ -344,7 +351,7 @@
 // instance hears from no peer: what cuts this instance off from all peers need
 // not cut callers off from them.
 func (n *Node) mayServe(p *peer) bool {
-	if !p.listed || p.State == event.StateLeaving || p.stopping {
+	if !p.listed || p.State == event.StateLeaving || n.departed(p) {
 		return false
 	}
 	return n.now-max(n.members.lastHeard, n.resumedAt) >= isolationTimeout
--- a/core/node/status.go
+++ b/core/node/status.go
@@ -41,7 +41,7 @@
 	for _, name := range n.members.peerNames() {
 		p := n.members.peers[name]
 		st.Instances = append(st.Instances, event.InstanceStatus{
-			Name: name, DataCentre: p.DataCentre, Generation: p.generation, State: stateName(p.stopping, n.live(p)),
+			Name: name, DataCentre: p.DataCentre, Generation: p.generation, State: stateName(n.departed(p), n.live(p)),
 		})
 	}
 	for _, name := range n.members.targetNames() {
