Monitor the next instances that run, not the next ones in the ring

Callers would see: addresses of instances that crashed, for as long as their entries are listed, where neighbours in the ring are lost together. An instance is reported silent by its two monitors only; if both are lost with it, nobody reports it.

Change: silent neighbours don't count as monitors, so that the next two that run monitor all between, at most 16 neighbours; instances that have departed are no part of the ring. As long as none is silent, each instance monitors the same two as before.

TestCrashedInstancesWhoseMonitorsCrashedTooAreNotNamed failed before (named by all four that were left of nine) and passes; core/node's tests of members, configurations and departures pass.

--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -11,6 +11,25 @@
 	"plantainfield.example/core/event"
 )
 
+// none is that no instance is silent.
+func none(string) bool { return false }
+
+func TestSilentInstancesInARowAreMonitoredByTheNextThatRun(t *testing.T) {
+	Convey("However many neighbours in a ring are silent, the next ones that run monitor all of them", t, func() {
+		ring := NewRing("n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8")
+		for count := range len(ring) - MonitorCount {
+			lost := ring[1 : 1+count]
+			silent := func(name string) bool { return slices.Contains(lost, name) }
+			for _, name := range lost {
+				for _, monitor := range ring[1+count : 1+count+MonitorCount] {
+					So(ring.MonitoredBy(monitor, silent), ShouldContain, name)
+					So(ring.MonitorsOf(name, silent), ShouldContain, monitor)
+				}
+			}
+		}
+	})
+}
+
 func TestEachInstanceIsMonitoredByTheNextOnes(t *testing.T) {
 	Convey("In rings of all sizes an instance monitors exactly those that it is a monitor of", t, func() {
 		for size := 1; size <= 20; size++ {
@@ -20,9 +39,9 @@
 			}
 			ring := NewRing(names...)
 			for _, name := range names {
-				So(ring.MonitorsOf(name), ShouldHaveLength, min(MonitorCount, size-1))
+				So(ring.MonitorsOf(name, none), ShouldHaveLength, min(MonitorCount, size-1))
 				for _, other := range names {
-					So(slices.Contains(ring.MonitorsOf(name), other), ShouldEqual, slices.Contains(ring.MonitoredBy(other), name))
+					So(slices.Contains(ring.MonitorsOf(name, none), other), ShouldEqual, slices.Contains(ring.MonitoredBy(other, none), name))
 				}
 			}
 		}
--- a/core/gossip/ring.go
+++ b/core/gossip/ring.go
@@ -7,11 +7,16 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// MonitorCount is the number of peers that monitor an instance.
+// MonitorCount is the number of running peers that monitor an instance.
 const MonitorCount = 2
 
+// maxMonitored bounds the neighbours in a ring that are monitored, silent ones
+// included. An instance that hears from nobody takes all others for silent.
+const maxMonitored = 16
+
 // Ring holds the names of all instances, ordered by their hashes. An instance's
-// monitors are the next ones in the ring.
+// monitors are the next ones in the ring, up to MonitorCount that run: silent ones in
+// between don't count, so that no instance loses all its monitors.
 type Ring []string
 
 // NewRing returns the ring of some instances.
@@ -23,17 +28,27 @@
 	return ring
 }
 
-// MonitorsOf returns the names of the instances that monitor an instance.
-func (r Ring) MonitorsOf(name string) []string { return r.neighbours(name, 1) }
+// MonitorsOf returns the names of the instances that monitor an instance, given which
+// ones are silent.
+func (r Ring) MonitorsOf(name string, silent func(string) bool) []string {
+	return r.neighbours(name, 1, silent)
+}
 
-// MonitoredBy returns the names of the instances that an instance monitors.
-func (r Ring) MonitoredBy(name string) []string { return r.neighbours(name, -1) }
+// MonitoredBy returns the names of the instances that an instance monitors, given which
+// ones are silent.
+func (r Ring) MonitoredBy(name string, silent func(string) bool) []string {
+	return r.neighbours(name, -1, silent)
+}
 
-func (r Ring) neighbours(name string, step int) []string {
+func (r Ring) neighbours(name string, step int, silent func(string) bool) []string {
 	at := slices.Index(r, name)
 	var out []string
-	for i := 1; i <= min(MonitorCount, len(r)-1); i++ {
-		out = append(out, r[(at+step*i+len(r))%len(r)])
+	for i, running := 1, 0; i < min(len(r), maxMonitored) && running < MonitorCount; i++ {
+		neighbour := r[((at+step*i)%len(r)+len(r))%len(r)]
+		out = append(out, neighbour)
+		if !silent(neighbour) {
+			running++
+		}
 	}
 	return out
 }
--- a/core/node/departure_test.go
+++ b/core/node/departure_test.go
@@ -7,6 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/gossip"
 )
 
 // hearOthers lets a time pass in which all peers but one send heartbeats.
@@ -75,3 +76,25 @@
 		})
 	})
 }
+
+func TestCrashedInstancesWhoseMonitorsCrashedTooAreNotNamed(t *testing.T) {
+	Convey("After a crash of neighbours in the ring, the others stop naming them and do not begin again", t, func() {
+		c := fleetOf(9)
+		f := newFleetRun(c.w, 0)
+		c.w.addTarget("t1", "m")
+		c.w.listInstances()
+		idle := func() {}
+		f.run(2*time.Second, idle)
+		crashed := gossip.NewRing(c.w.nodeNames()...)[:5]
+		for _, name := range crashed {
+			delete(c.w.nodes, name) // its entry stays in the instance lists
+		}
+		f.run(3*configBound, idle)
+		for range 20 {
+			f.run(time.Second, idle)
+			for _, name := range crashed {
+				So(f.instancesNaming(name), ShouldBeEmpty)
+			}
+		}
+	})
+}
--- a/core/node/gossip.go
+++ b/core/node/gossip.go
@@ -84,14 +84,23 @@
 	}
 }
 
-// ring returns the ring of all instances.
-func (m *memberState) ring(self string) gossip.Ring {
+// ring returns the ring of the instances that have not departed.
+func (n *Node) ring() gossip.Ring {
+	m := &n.members
 	if m.cachedRing == nil {
-		m.cachedRing = gossip.NewRing(append(slices.Clone(m.peerNames()), self)...)
+		names := slices.DeleteFunc(slices.Clone(m.peerNames()), func(name string) bool { return n.departed(m.peers[name]) })
+		m.cachedRing = gossip.NewRing(append(names, n.settings.Name)...)
 	}
 	return m.cachedRing
 }
 
+// silent reports whether the peer of a name was reported as silent and has shown no
+// sign of life since.
+func (n *Node) silent(name string) bool {
+	p := n.members.peers[name]
+	return p != nil && n.reportedSilent(p)
+}
+
 func (n *Node) tickMembers() {
 	due := n.now >= n.members.nextHeartbeat
 	if due {
@@ -100,7 +109,7 @@
 		}
 		n.members.nextHeartbeat = n.now + heartbeatPeriod
 		n.refreshFacts()
-		n.sendHeartbeat(append(n.members.ring(n.settings.Name).MonitorsOf(n.settings.Name), n.extraPeers()...))
+		n.sendHeartbeat(append(n.ring().MonitorsOf(n.settings.Name, n.silent), n.extraPeers()...))
 	}
 	if n.members.burstDue && n.now >= n.members.nextBurst {
 		n.sendBurst()
@@ -163,7 +172,7 @@
 		}
 		t.Reinstate(n.now)
 	}
-	for _, name := range n.members.ring(n.settings.Name).MonitoredBy(n.settings.Name) {
+	for _, name := range n.ring().MonitoredBy(n.settings.Name, n.silent) {
 		p := n.members.peers[name]
 		if n.now-max(p.knownSince, p.lastHeard, n.resumedAt) >= silenceTimeout {
 			p.silentAt = n.now
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -258,6 +258,7 @@
 // peerDeparted records that an incarnation of an instance stops.
 func (n *Node) peerDeparted(name, incarnation string) {
 	if n.members.departures.Record(name, incarnation) {
+		n.members.cachedRing = nil
 		n.logChange("instance departed", "instance", name, "incarnation", incarnation)
 	}
 }
@@ -266,17 +267,22 @@
 // instance has reported it as silent since its last sign of life, and this
 // instance hears from peers.
 func (n *Node) reachable(p *peer) bool {
-	if p.silentAt > p.lastHeard && n.now-p.silentAt < gossip.FactTimeout {
+	if n.reportedSilent(p) {
 		return false
 	}
 	return n.now-max(p.knownSince+newPeerGrace-isolationTimeout, n.members.lastHeard, n.resumedAt) < isolationTimeout
 }
 
+func (n *Node) reportedSilent(p *peer) bool {
+	return p.silentAt > p.lastHeard && n.now-p.silentAt < gossip.FactTimeout
+}
+
 // setIncarnation records a peer's incarnation. What an earlier one failed to do
 // says nothing of a later one.
 func (n *Node) setIncarnation(p *peer, incarnation string) {
 	if p.incarnation != incarnation {
 		delete(n.ledgers.avoidedWriters, p.Name)
+		n.members.cachedRing = nil
 	}
 	p.incarnation = incarnation
 }
