Don't call a request not run that may have run when the loop ends

Callers would see: 503, which promises that the request has not run, for one that an earlier attempt may have run, if the instance's loop ends while it waits for another attempt (REFUSED). The answer said so whatever had been sent.

TestRequestThatMayHaveRunIsNotRefusedAsNotRunWhenTheLoopEnds failed before (Ran no instead of unknown) and passes.

--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -85,7 +85,8 @@
 			x.refuseAbandoned()
 			return
 		case <-loop.Ended():
-			x.refuse(Refusal{Kind: errkind.Stopping, Ran: errkind.RanNo})
+			x.abandonKind = errkind.Stopping
+			x.refuseAbandoned()
 			return
 		}
 	}
