Answer the requests in progress before a stopping instance exits

Cause: new requests are taken for 3/8 of the grace period. 1.5 s before its end the loop ended, a second later the listeners gave up and the process exited, with no word to what was in progress.

Change: at 7/8 of the grace period the gateway ends what is in progress: a request that was not sent is refused as not run, one that may have run is answered so (504), a stream is broken off; the loop still settles their tokens. Without requests the loop ends when it did before. A request that must not run twice, and whose time-out lasts beyond that moment, is refused as not run at a stopping instance, if there is another one: it may be served to its end there.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -105,7 +105,9 @@
 	stopping bool
 	// refuseFrom is the time from which a stopping instance refuses new requests.
 	refuseFrom time.Duration
-	stopped    bool
+	// endAt is when a stopping instance ends what is in progress, or 0.
+	endAt   time.Duration
+	stopped bool
 }
 
 // New returns a node that knows no configuration and no other instance.
@@ -191,6 +193,9 @@
 	case e.ShutdownRequired != nil:
 		n.stopping = true
 		n.refuseFrom = n.now + e.ShutdownRequired.Linger
+		if e.ShutdownRequired.End > 0 {
+			n.endAt = n.now + e.ShutdownRequired.End
+		}
 		n.reconfirmBackups()
 		n.refreshFacts()
 		n.members.burstDue = true
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -167,7 +167,7 @@
 	if !n.ready() {
 		return errkind.NotReady
 	}
-	if n.stopping && n.now >= n.refuseFrom {
+	if n.stopping && (n.now >= n.refuseFrom || n.mayBeCut(r)) {
 		return errkind.Stopping
 	}
 	if other := n.requests.byID[r.id]; other != nil {
@@ -188,6 +188,13 @@
 	return errkind.None
 }
 
+// mayBeCut reports whether the request must not run twice and may still be in progress
+// when this instance, which stops, ends its requests. Another instance can serve it to
+// its end.
+func (n *Node) mayBeCut(r *request) bool {
+	return n.endAt > 0 && !r.Idempotent && n.now+n.deadline(r) > n.endAt && n.liveInstances() > 1
+}
+
 func (n *Node) refuseOnArrival(handle uint64, kind errkind.Kind) {
 	a := errkind.Lookup(kind)
 	after := time.Duration(a.RetryAfterSeconds) * time.Second
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -188,23 +188,46 @@
 // platform.
 const callLogPeriod = 10 * time.Second
 
-// hostedStopMargin is the part of the grace period that remains for closing the
-// listeners after the core has stopped.
-const hostedStopMargin = 1500 * time.Millisecond
+// Parts of the grace period after a stop signal, per mille.
+const (
+	// lingerPerMille is how long new requests are still served. This is longer than
+	// callers cache an address response.
+	lingerPerMille = 375
+	// endPerMille is when the requests that are still in progress are ended, so that
+	// their callers get an answer before the process exits, and exitPerMille when the
+	// loop ends, whatever is outstanding.
+	endPerMille  = 875
+	exitPerMille = 935
+)
 
-// lingerPerMille is the part of the grace period during which new requests are
-// still served. This is longer than callers cache an address response.
-const lingerPerMille = 375
+// hostedStopMargin is the part of the grace period before whose begin the loop ends
+// if no request is in progress, although the core has not completed its stop.
+const hostedStopMargin = 1500 * time.Millisecond
 
+// stopHosted waits until the core has completed a graceful stop, or until the grace
+// period is nearly over.
 func stopHosted(p hostedParams) {
 	p.Log.Info("graceful stop begins", zap.Int64("requests", p.Gateway.ActiveRequests()))
-	p.Loop.Post(event.Event{ShutdownRequired: &event.ShutdownRequired{Linger: p.Adapter.GracePeriod * lingerPerMille / 1000}})
-	select {
-	case <-p.Loop.ShutdownComplete():
-		p.Log.Info("graceful stop complete")
-	case <-time.After(p.Adapter.GracePeriod - hostedStopMargin):
-		p.Log.Warn("graceful stop timed out; what is outstanding stays charged", zap.Int64("requests", p.Gateway.ActiveRequests()))
+	grace := p.Adapter.GracePeriod
+	linger, end := grace*lingerPerMille/1000, grace*endPerMille/1000
+	p.Loop.Post(event.Event{ShutdownRequired: &event.ShutdownRequired{Linger: linger, End: end}})
+	withoutRequests, ended, exit := time.After(grace-hostedStopMargin), time.After(end), time.After(grace*exitPerMille/1000)
+	timedOut := false
+	for !timedOut {
+		select {
+		case <-p.Loop.ShutdownComplete():
+			p.Log.Info("graceful stop complete")
+			return
+		case <-withoutRequests:
+			timedOut = p.Gateway.ActiveRequests() == 0
+		case <-ended:
+			p.Log.Info("requests in progress are ended", zap.Int64("requests", p.Gateway.ActiveRequests()))
+			p.Gateway.EndRequests()
+		case <-exit:
+			timedOut = true
+		}
 	}
+	p.Log.Warn("graceful stop timed out; what is outstanding stays charged", zap.Int64("requests", p.Gateway.ActiveRequests()))
 }
 
 // runHostedListeners serves callers, peers and the platform.
@@ -243,8 +266,8 @@
 			}
 			return errors.Join(failed, serve(p.Adapter.Settings.Peers.Address, p.Peers.Serve))
 		},
-		OnStop: func(context.Context) error {
-			ctx, cancel := context.WithTimeout(context.Background(), hostedCloseTimeout)
+		OnStop: func(stop context.Context) error {
+			ctx, cancel := context.WithTimeout(context.Background(), listenerCloseTimeout(stop))
 			defer cancel()
 			for _, s := range servers {
 				_ = s.Shutdown(ctx)
@@ -255,6 +278,20 @@
 	})
 }
 
-// hostedCloseTimeout bounds how long responses in progress may take to finish
-// after the core has stopped.
-const hostedCloseTimeout = time.Second
+const (
+	// hostedCloseTimeout bounds how long responses in progress may take to finish
+	// after the core has stopped, and exitMargin is what remains of the grace period
+	// afterwards.
+	hostedCloseTimeout = time.Second
+	exitMargin         = 250 * time.Millisecond
+)
+
+// listenerCloseTimeout returns how long the listeners may take to close, given the context of
+// the stop, which ends with the grace period.
+func listenerCloseTimeout(stop context.Context) time.Duration {
+	deadline, ok := stop.Deadline()
+	if !ok {
+		return hostedCloseTimeout
+	}
+	return max(0, min(hostedCloseTimeout, time.Until(deadline)-exitMargin))
+}
--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -47,7 +47,7 @@
 	// mayHaveRun is set once a target or a peer may have run the request.
 	mayHaveRun bool
 	// abandonKind is set once no further attempt may start, because the caller
-	// disconnected or the request timed out.
+	// disconnected, the request timed out or the instance exits.
 	abandonKind errkind.Kind
 	log         *zap.Logger
 }
@@ -69,6 +69,8 @@
 		zap.String("body", quarantine.ShortID(x.bodyHash)))
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline(), errTimeout)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer context.AfterFunc(x.server.ending, func() { end(errStopping) })()
 	x.serves = x.route.Destination(xxhash.Sum64String(cmp.Or(x.meta.Resumes, x.meta.AttemptID)))
 	arrival := x.arrival(x.handle)
 	x.poster.Post(event.Event{RequestArrived: &arrival})
@@ -92,8 +94,11 @@
 	}
 }
 
-// errTimeout reports that the request's timeout has expired.
-var errTimeout = errors.New("the request timed out")
+// Causes of the end of a request's context, besides a caller that has left.
+var (
+	errTimeout  = errors.New("the request timed out")
+	errStopping = errors.New("the instance exits")
+)
 
 // abandon tells the core that the result of the request is no longer needed.
 func (x *exchange) abandon(ctx context.Context) {
@@ -103,9 +108,13 @@
 
 // setAbandonKind records why the request is abandoned.
 func (x *exchange) setAbandonKind(ctx context.Context) {
-	x.abandonKind = errkind.CallerGone
-	if errors.Is(context.Cause(ctx), errTimeout) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errTimeout):
 		x.abandonKind = errkind.DeadlineUnmeetable
+	case errors.Is(cause, errStopping):
+		x.abandonKind = errkind.Stopping
+	default:
+		x.abandonKind = errkind.CallerGone
 	}
 }
 
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -44,6 +44,10 @@
 	// stopping is set once a stop has begun. Connections are then closed after
 	// their current response.
 	stopping atomic.Bool
+	// ending is cancelled once the requests in progress must end, because the instance
+	// exits.
+	ending context.Context
+	end    context.CancelFunc
 	// warnings holds the names of the targets that warnOnce was called for.
 	warnings sync.Map
 }
@@ -51,6 +55,7 @@
 // New returns a Server. peers sends requests that are handed over to peers.
 func New(loop *runtime.Loop, targets, peers *upstream.Client, protocol Protocol, set *settings.Settings, log *zap.Logger) *Server {
 	s := &Server{loop: loop, targets: targets, peers: peers, peerKey: set.PeerKey, protocol: protocol, limits: set.Limits, log: log, metrics: newMetrics()}
+	s.ending, s.end = context.WithCancel(context.Background())
 	s.admission = newAdmission(loop, settings.Millis(set.Limits.MaxWorkWaitMillis), s.ActiveRequests, log.Named(logring.InstanceLogger))
 	return s
 }
@@ -64,6 +69,10 @@
 // Stop makes each connection close after its current response.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// EndRequests ends the requests in progress: each is answered now, as not run or as one
+// that may have run, and streams are broken off.
+func (s *Server) EndRequests() { s.end() }
+
 // warnOnce reports whether it is called for a target for the first time.
 func (s *Server) warnOnce(target string) bool {
 	_, seen := s.warnings.LoadOrStore(target, struct{}{})
