Reset connections of HTTP/1.0 callers whose response breaks off

To a client of HTTP/1.0 a response without a length ends with its connection; a response that breaks off was ended by closing it in order.

Change: fleet/httpabort resets the connection then, for the platform's callers and for those of the own interface.

TestStreamThatBreaksOffDoesNotLookCompleteToCallersOfHTTP10 failed before (a clean end) and passes.

--- a/fleet/callers/exchange.go
+++ b/fleet/callers/exchange.go
@@ -12,6 +12,7 @@
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/fleet/apierror"
+	"plantainfield.example/fleet/httpabort"
 	"plantainfield.example/fleet/settings"
 )
 
@@ -173,7 +174,7 @@
 		// A cancelled response was billed. The connection is aborted, so that
 		// the caller cannot mistake the response for a complete one.
 		x.countResult(resultCut)
-		panic(http.ErrAbortHandler)
+		httpabort.Abort(x.out.w, x.r, x.log)
 	}
 	x.countResult(resultAnswered)
 	x.sendFinal()
@@ -196,7 +197,7 @@
 	}
 	// Part of a plain response was sent. The connection is aborted, so that the
 	// caller cannot mistake the response for a complete one.
-	panic(http.ErrAbortHandler)
+	httpabort.Abort(x.out.w, x.r, x.log)
 }
 
 func (x *exchange) replay(answer event.RecordedAnswer) {
--- a/fleet/callers/handover.go
+++ b/fleet/callers/handover.go
@@ -17,6 +17,7 @@
 	"plantainfield.example/core/event"
 	"plantainfield.example/fleet/apierror"
 	"plantainfield.example/fleet/engine"
+	"plantainfield.example/fleet/httpabort"
 )
 
 const (
@@ -141,7 +142,7 @@
 		x.out.writeChunk(buf[:n])
 		x.out.flush()
 		if x.out.writeErr != nil || (err != nil && !errors.Is(err, io.EOF)) {
-			panic(http.ErrAbortHandler)
+			httpabort.Abort(x.out.w, x.r, x.log)
 		}
 		if err != nil {
 			return
--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/quarantine"
+	"plantainfield.example/fleet/httpabort"
 	"plantainfield.example/fleet/runtime"
 )
 
@@ -233,7 +234,7 @@
 		zap.Duration("age", time.Since(x.arrived)), zap.Duration("retry_after", refusal.RetryAfter), zap.Int64("tokens", x.worstCaseTokens()),
 		zap.Bool("cut", x.relay.started))
 	if x.relay.started || x.abandonKind == errkind.CallerGone {
-		panic(http.ErrAbortHandler)
+		httpabort.Abort(x.w, x.r, x.log)
 	}
 	markRefusal(x.w, x.r, refusal.Kind, refusal.Ran)
 	x.server.protocol.Refuse(x.w, refusal)
