Let configurations and instance lists go before requests in the loop's queue

A configuration, a list of targets and a stop waited behind up to 4,096 events of requests, first come, first served, so that what an operator has changed came into force as late as the oldest of them.

Change: these events have a queue of their own, which the loop looks at first.

--- a/fleet/runtime/loop.go
+++ b/fleet/runtime/loop.go
@@ -18,6 +18,7 @@
 
 const (
 	eventQueueSize    = 4096
+	changeQueueSize   = 64
 	peerQueueSize     = 1024
 	platformQueueSize = 1024
 	probeQueueSize    = 16
@@ -41,7 +42,9 @@
 // Loop runs one core node. Its methods are safe for concurrent use, except
 // where noted.
 type Loop struct {
-	node          *node.Node
+	node *node.Node
+	// changes holds the events that have precedence over all others in events.
+	changes       chan postedEvent
 	events        chan postedEvent
 	platformCalls chan event.PlatformCall
 	peerMessages  chan event.SendPeer
@@ -92,6 +95,7 @@
 func NewLoop(s node.Settings) *Loop {
 	return &Loop{
 		node:             node.New(s),
+		changes:          make(chan postedEvent, changeQueueSize),
 		events:           make(chan postedEvent, eventQueueSize),
 		platformCalls:    make(chan event.PlatformCall, platformQueueSize),
 		peerMessages:     make(chan event.SendPeer, peerQueueSize),
@@ -172,15 +176,24 @@
 
 func (l *Loop) post(e postedEvent) {
 	select {
-	case l.events <- e:
+	case l.queueOf(e.Event) <- e:
 	case <-l.ended:
 	}
 }
 
+// queueOf returns the queue of an event. What an operator has changed must be in force
+// within a bound that requests don't have, however many of them wait.
+func (l *Loop) queueOf(e event.Event) chan postedEvent {
+	if e.ConfigRead != nil || e.InstancesListed != nil || e.ShutdownRequired != nil || e.PeerReceived != nil && e.PeerReceived.Message.ConfigReply != nil {
+		return l.changes
+	}
+	return l.events
+}
+
 // tryPost queues an event unless the queue is full.
 func (l *Loop) tryPost(e postedEvent) bool {
 	select {
-	case l.events <- e:
+	case l.queueOf(e.Event) <- e:
 		return true
 	default:
 		return false
@@ -230,8 +243,18 @@
 	for {
 		var e event.Event
 		select {
+		case posted := <-l.changes:
+			l.observeWait(&l.waits, posted.at)
+			l.step(time.Since(start), posted.Event)
+			continue
+		default:
+		}
+		select {
 		case <-ctx.Done():
 			return
+		case posted := <-l.changes:
+			l.observeWait(&l.waits, posted.at)
+			e = posted.Event
 		case reply := <-l.dumpRequests:
 			reply <- l.node.Dump()
 			continue
