Let a stopping instance take model requests until its linger time is over

Change: only requests to services are refused so, where an unknown outcome is what harms; a model's answer that is cut may be asked for again.

TestStoppingInstanceTakesNoRequestThatItMayHaveToCut has a case for it.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -402,7 +402,8 @@
 	// Linger is how long new requests are still served, because callers take a
 	// while to learn that they should go elsewhere.
 	Linger time.Duration `json:"linger,omitempty"`
-	// End is when the requests that are still in progress are ended. Requests that
-	// must not run twice and may take longer are refused; 0 if none is ended.
+	// End is when the requests that are still in progress are ended. Requests to
+	// services that must not run twice and may take longer are refused; 0 if none is
+	// ended.
 	End time.Duration `json:"end,omitempty"`
 }
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -188,11 +188,11 @@
 	return errkind.None
 }
 
-// mayBeCut reports whether the request must not run twice and may still be in progress
-// when this instance, which stops, ends its requests. Another instance can serve it to
-// its end.
+// mayBeCut reports whether the request is one to a service that must not run twice, and
+// may still be in progress when this instance, which stops, ends its requests. Another
+// instance can serve it to its end. A model's answer that is cut does no such harm.
 func (n *Node) mayBeCut(r *request) bool {
-	return n.endAt > 0 && !r.Idempotent && n.now+n.deadline(r) > n.endAt && n.liveInstances() > 1
+	return n.endAt > 0 && r.Kind == event.KindService && !r.Idempotent && n.now+n.deadline(r) > n.endAt && n.liveInstances() > 1
 }
 
 func (n *Node) refuseOnArrival(handle uint64, kind errkind.Kind) {
--- a/core/node/stop_test.go
+++ b/core/node/stop_test.go
@@ -18,14 +18,15 @@
 		h.hear("n2", event.PeerMessage{Heartbeat: &event.Heartbeat{}})
 		stop := &event.ShutdownRequired{Linger: 3 * time.Second, End: 7 * time.Second}
 		handle := uint64(0)
+		kind := event.KindService
 		arrive := func(idempotent bool, deadline time.Duration) *event.Refuse {
 			handle++
 			return refusal(h.step(event.Event{RequestArrived: &event.RequestArrived{
 				Request: handle, Customer: "c", Key: time.Duration(handle).String(), BodyHash: time.Duration(handle).String(),
-				Serves: "app", MaxAttempts: 1, Idempotent: idempotent, Deadline: deadline,
+				Kind: kind, Serves: "app", MaxAttempts: 1, Idempotent: idempotent, Deadline: deadline,
 			}}))
 		}
-		Convey("one that must not run twice and may take longer is refused as not run, with a short time to come back", func() {
+		Convey("one to a service that must not run twice and may take longer is refused as not run, with a short time to come back", func() {
 			h.step(event.Event{ShutdownRequired: stop})
 			h.advance(time.Second)
 			got := arrive(false, 6500*time.Millisecond)
@@ -39,6 +40,11 @@
 				So(arrive(true, time.Second).Kind, ShouldEqual, errkind.Stopping)
 			})
 		})
+		Convey("a model's answer, which may be asked for again, is taken", func() {
+			h.step(event.Event{ShutdownRequired: stop})
+			kind = event.KindModel
+			So(arrive(false, 15*time.Second), ShouldBeNil)
+		})
 		Convey("it is taken if no other instance could serve it", func() {
 			h.list(false, targetEntry("t1"))
 			h.step(event.Event{ShutdownRequired: stop})
