Go on monitoring instances that have said that they stop

Callers of the own interface would see: a bill line that nobody writes.

Change: departed instances stay in the ring and are monitored; they only don't count as monitors, as silent ones don't.

--- a/core/node/departure_test.go
+++ b/core/node/departure_test.go
@@ -98,3 +98,23 @@
 		}
 	})
 }
+
+func TestDepartedInstanceThatEndsWithoutAWordIsReportedSilent(t *testing.T) {
+	Convey("An instance that has said that it stops, and ends before its stop is complete, does not pass for one that still runs", t, func() {
+		c := fleetOf(9)
+		f := newFleetRun(c.w, 0)
+		c.w.addTarget("t1", "m")
+		c.w.listInstances()
+		idle := func() {}
+		f.run(2*time.Second, idle)
+		name := c.w.nodeNames()[4]
+		c.w.step(c.w.nodes[name], event.Event{ShutdownRequired: &event.ShutdownRequired{Linger: time.Hour}})
+		f.run(time.Second, idle)
+		delete(c.w.nodes, name)
+		f.run(configBound, idle)
+		for _, other := range c.w.nodeNames() {
+			n := c.w.nodes[other].node
+			So(n.reachable(n.members.peers[name]), ShouldBeFalse)
+		}
+	})
+}
--- a/core/node/gossip.go
+++ b/core/node/gossip.go
@@ -84,21 +84,18 @@
 	}
 }
 
-// ring returns the ring of the instances that have not departed.
-func (n *Node) ring() gossip.Ring {
-	m := &n.members
+// ring returns the ring of all instances.
+func (m *memberState) ring(self string) gossip.Ring {
 	if m.cachedRing == nil {
-		names := slices.DeleteFunc(slices.Clone(m.peerNames()), func(name string) bool { return n.departed(m.peers[name]) })
-		m.cachedRing = gossip.NewRing(append(names, n.settings.Name)...)
+		m.cachedRing = gossip.NewRing(append(slices.Clone(m.peerNames()), self)...)
 	}
 	return m.cachedRing
 }
 
-// silent reports whether the peer of a name was reported as silent and has shown no
-// sign of life since.
-func (n *Node) silent(name string) bool {
+// monitorsNone reports whether the peer of a name can't be relied on as a monitor.
+func (n *Node) monitorsNone(name string) bool {
 	p := n.members.peers[name]
-	return p != nil && n.reportedSilent(p)
+	return p != nil && (n.reportedSilent(p) || n.departed(p))
 }
 
 func (n *Node) tickMembers() {
@@ -109,7 +106,7 @@
 		}
 		n.members.nextHeartbeat = n.now + heartbeatPeriod
 		n.refreshFacts()
-		n.sendHeartbeat(append(n.ring().MonitorsOf(n.settings.Name, n.silent), n.extraPeers()...))
+		n.sendHeartbeat(append(n.members.ring(n.settings.Name).MonitorsOf(n.settings.Name, n.monitorsNone), n.extraPeers()...))
 	}
 	if n.members.burstDue && n.now >= n.members.nextBurst {
 		n.sendBurst()
@@ -172,7 +169,7 @@
 		}
 		t.Reinstate(n.now)
 	}
-	for _, name := range n.ring().MonitoredBy(n.settings.Name, n.silent) {
+	for _, name := range n.members.ring(n.settings.Name).MonitoredBy(n.settings.Name, n.monitorsNone) {
 		p := n.members.peers[name]
 		if n.now-max(p.knownSince, p.lastHeard, n.resumedAt) >= silenceTimeout {
 			p.silentAt = n.now
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -258,7 +258,6 @@
 // peerDeparted records that an incarnation of an instance stops.
 func (n *Node) peerDeparted(name, incarnation string) {
 	if n.members.departures.Record(name, incarnation) {
-		n.members.cachedRing = nil
 		n.logChange("instance departed", "instance", name, "incarnation", incarnation)
 	}
 }
@@ -282,7 +281,6 @@
 func (n *Node) setIncarnation(p *peer, incarnation string) {
 	if p.incarnation != incarnation {
 		delete(n.ledgers.avoidedWriters, p.Name)
-		n.members.cachedRing = nil
 	}
 	p.incarnation = incarnation
 }
--- a/core/node/members_test.go
+++ b/core/node/members_test.go
@@ -225,7 +225,7 @@
 				So(f.instancesNaming(first), ShouldBeEmpty)
 			})
 			Convey("an instance that only its monitors can't hear is missing from less than a quarter of the answers to callers", func() {
-				for _, m := range c.w.nodes[last].node.ring().MonitorsOf(last, func(string) bool { return false }) {
+				for _, m := range c.w.nodes[last].node.members.ring(last).MonitorsOf(last, func(string) bool { return false }) {
 					c.w.cutPeers[pair(last, m)] = true
 				}
 				missing := 0
