--- a/core/gossip/ring.go
+++ b/core/gossip/ring.go
@@ -10,7 +10,8 @@
 // MonitorCount is the number of running peers that monitor an instance.
 const MonitorCount = 2
 
-// maxMonitored bounds the neighbours in a ring that are monitored, all included. An instance that hears from nobody takes all others for silent.
+// maxMonitored bounds the neighbours that an instance monitors, whether they run or
+// not: one that hears from nobody takes all others for silent.
 const maxMonitored = 16
 
 // Ring holds the names of all instances, ordered by their hashes. An instance's
--- a/core/node/departure_test.go
+++ b/core/node/departure_test.go
@@ -42,12 +42,13 @@
 	Convey("Given a fleet of which one instance says that it stops", t, func() {
 		h, entries := fewInstances()
 		So(h.addresses(), ShouldContain, "n2:1")
-		monitorsSilent := func() { h.node.members.peers["n2"].silentAt = 0 } // its monitors have left as well
+		// forgetSilence makes n2 an instance whose monitors have left as well.
+		forgetSilence := func() { h.node.members.peers["n2"].silentAt = 0 }
 		Convey("it is not named however long ago it said so, and though its entry stays", func() {
 			h.hear("n2", event.PeerMessage{Heartbeat: &event.Heartbeat{Stopping: true}})
 			for range 10 {
 				h.hearOthers(4*time.Second, entries, "n2")
-				monitorsSilent()
+				forgetSilence()
 				So(h.addresses(), ShouldNotContain, "n2:1")
 			}
 			Convey("nor after an older list has lacked it and brought it back", func() {
--- a/core/node/gossip.go
+++ b/core/node/gossip.go
@@ -92,8 +92,9 @@
 	return m.cachedRing
 }
 
-// monitorsNone reports whether the peer of a name can't be relied on as a monitor.
-func (n *Node) monitorsNone(name string) bool {
+// unfitAsMonitor reports whether the peer of a name is silent or has departed, so that
+// others must monitor in its place.
+func (n *Node) unfitAsMonitor(name string) bool {
 	p := n.members.peers[name]
 	return p != nil && (n.reportedSilent(p) || n.departed(p))
 }
@@ -106,7 +107,7 @@
 		}
 		n.members.nextHeartbeat = n.now + heartbeatPeriod
 		n.refreshFacts()
-		n.sendHeartbeat(append(n.members.ring(n.settings.Name).MonitorsOf(n.settings.Name, n.monitorsNone), n.extraPeers()...))
+		n.sendHeartbeat(append(n.members.ring(n.settings.Name).MonitorsOf(n.settings.Name, n.unfitAsMonitor), n.extraPeers()...))
 	}
 	if n.members.burstDue && n.now >= n.members.nextBurst {
 		n.sendBurst()
@@ -169,7 +170,7 @@
 		}
 		t.Reinstate(n.now)
 	}
-	for _, name := range n.members.ring(n.settings.Name).MonitoredBy(n.settings.Name, n.monitorsNone) {
+	for _, name := range n.members.ring(n.settings.Name).MonitoredBy(n.settings.Name, n.unfitAsMonitor) {
 		p := n.members.peers[name]
 		if n.now-max(p.knownSince, p.lastHeard, n.resumedAt) >= silenceTimeout {
 			p.silentAt = n.now
--- a/core/node/stop_test.go
+++ b/core/node/stop_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 		arrive := func(idempotent bool, deadline time.Duration) *event.Refuse {
 			handle++
 			return refusal(h.step(event.Event{RequestArrived: &event.RequestArrived{
-				Request: handle, Customer: "c", Key: time.Duration(handle).String(), BodyHash: time.Duration(handle).String(),
+				Request: handle, Customer: "c", Key: fmt.Sprint(handle), BodyHash: fmt.Sprint(handle),
 				Kind: kind, Serves: "app", MaxAttempts: 1, Idempotent: idempotent, Deadline: deadline,
 			}}))
 		}
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -200,8 +200,8 @@
 	exitPerMille = 935
 )
 
-// hostedStopMargin is the part of the grace period before whose begin the loop ends
-// if no request is in progress, although the core has not completed its stop.
+// hostedStopMargin is how long before the end of the grace period the loop ends
+// without requests in progress, although the core has not completed its stop.
 const hostedStopMargin = 1500 * time.Millisecond
 
 // stopHosted waits until the core has completed a graceful stop, or until the grace
@@ -286,8 +286,8 @@
 	exitMargin         = 250 * time.Millisecond
 )
 
-// listenerCloseTimeout returns how long the listeners may take to close, given the context of
-// the stop, which ends with the grace period.
+// listenerCloseTimeout returns how long the listeners may take to close, given the
+// context of the stop, which ends with the grace period.
 func listenerCloseTimeout(stop context.Context) time.Duration {
 	deadline, ok := stop.Deadline()
 	if !ok {
