--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -33,7 +34,9 @@
 	record *record
 	fleet  *fleet
 	http   *http.Client
-	mu     sync.Mutex
+	// kept is a client that keeps its connections.
+	kept *http.Client
+	mu   sync.Mutex
 	// addresses is the last answer to a look-up, good until then.
 	addresses []string
 	until     time.Time
@@ -43,9 +46,11 @@
 
 func newClients(r *record, f *fleet) *clients {
 	dialer := net.Dialer{Timeout: time.Second}
-	return &clients{record: r, fleet: f, http: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
-	}}}
+	return &clients{
+		record: r, fleet: f,
+		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}},
+		kept: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 100, IdleConnTimeout: 10 * time.Second, DisableCompression: true}},
+	}
 }
 
 // resolve asks a node where to connect.
@@ -108,7 +113,13 @@
 	return c.sendTo(c.address(), tenant, key, rt)
 }
 
+// sendTo sends a request on a new connection to an address.
 func (c *clients) sendTo(address, tenant, key string, rt route) *request {
+	return c.sendWith(c.http, address, tenant, key, rt)
+}
+
+// sendWith sends a request with one of the clients.
+func (c *clients) sendWith(client *http.Client, address, tenant, key string, rt route) *request {
 	c.mu.Lock()
 	c.lastID++
 	q := &request{id: fmt.Sprintf("%08x%08x", c.record.began.Unix()&0xffffffff, c.lastID), tenant: tenant, prompt: rt.prompt, maxOutput: rt.maxOutput, instance: address}
@@ -118,6 +129,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), rt.deadline)
 	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { q.reused = i.Reused }})
 	req, _ := http.NewRequestWithContext(ctx, rt.method, "http://"+address+rt.path, strings.NewReader("body of "+q.id))
 	req.Host = host
 	req.GetBody = nil
@@ -130,7 +142,7 @@
 		req.Header.Set("X-Prompt-Prefix", fmt.Sprintf("5c1e07a2:%d,%s:%d", rt.prompt/2, q.id, rt.prompt-rt.prompt/2))
 	}
 	c.record.send(q)
-	resp, err := c.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		if errors.Is(err, context.DeadlineExceeded) {
 			c.record.answered(q, 0, false, "(no answer in time)")
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -114,9 +114,6 @@
 			w.record.note("%s has %d MB and is killed", i.name, used>>20)
 			i.signal(syscall.SIGKILL)
 			<-i.exited
-			go func() {
-				time.Sleep(restartDelay)
-			}()
 			time.Sleep(restartDelay)
 			if w.fleet.start(i) != nil {
 				return ends, peak
@@ -158,7 +155,7 @@
 		ends, peak := w.enforceMemory(stopMemory)
 		result <- memory{ends, peak}
 	}()
-	w.clients.load(20, stop, func() { w.clients.send(busy.name, busy.key, chat) })
+	w.clients.load(30, stop, func() { w.clients.sendWith(w.clients.kept, w.clients.address(), busy.name, busy.key, chat) })
 	w.clients.load(usualUploads, stop, func() { w.clients.upload(hot) })
 	time.Sleep(10 * time.Second)
 	if w.trouble {
@@ -181,11 +178,11 @@
 	lost, statuses := 0, map[int]int{}
 	for _, q := range w.record.order {
 		statuses[q.status]++
-		if len(q.runs) > 0 && !q.complete {
+		if q.reused && len(q.runs) > 0 && !q.complete {
 			lost++
 		}
 	}
-	text := fmt.Sprintf("at most %d MB of %d; ended for their memory: %d; requests passed on to replicas whose connection then closed without a complete answer: %d; answers by status: %v",
+	text := fmt.Sprintf("at most %d MB of %d; ended for their memory: %d; requests of kept connections that were passed on to replicas and whose connection then closed without a complete answer: %d; answers by status: %v",
 		m.peak>>20, memoryLimit>>20, m.ends, lost, statuses)
 	w.record.line("%s", text)
 	fmt.Println(text)
