--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -26,6 +25,10 @@
 	method            string
 	prompt, maxOutput int64
 	deadline          time.Duration
+	// body, if set, is the same for all requests. leavesAfter, if set, is when the
+	// client leaves without an answer.
+	body        string
+	leavesAfter time.Duration
 }
 
 // clients are clients that look up where to connect, each request on a new
@@ -34,9 +37,7 @@
 	record *record
 	fleet  *fleet
 	http   *http.Client
-	// kept is a client that keeps its connections.
-	kept *http.Client
-	mu   sync.Mutex
+	mu     sync.Mutex
 	// addresses is the last answer to a look-up, good until then.
 	addresses []string
 	until     time.Time
@@ -49,7 +50,6 @@
 	return &clients{
 		record: r, fleet: f,
 		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}},
-		kept: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 100, IdleConnTimeout: 10 * time.Second, DisableCompression: true}},
 	}
 }
 
@@ -115,11 +115,6 @@
 
 // sendTo sends a request on a new connection to an address.
 func (c *clients) sendTo(address, tenant, key string, rt route) *request {
-	return c.sendWith(c.http, address, tenant, key, rt)
-}
-
-// sendWith sends a request with one of the clients.
-func (c *clients) sendWith(client *http.Client, address, tenant, key string, rt route) *request {
 	c.mu.Lock()
 	c.lastID++
 	q := &request{id: fmt.Sprintf("%08x%08x", c.record.began.Unix()&0xffffffff, c.lastID), tenant: tenant, prompt: rt.prompt, maxOutput: rt.maxOutput, instance: address}
@@ -127,10 +122,16 @@
 	if address == "" {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), rt.deadline)
+	patience, body := rt.deadline, rt.body
+	if rt.leavesAfter > 0 {
+		patience = rt.leavesAfter
+	}
+	if body == "" {
+		body = "body of " + q.id
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { q.reused = i.Reused }})
-	req, _ := http.NewRequestWithContext(ctx, rt.method, "http://"+address+rt.path, strings.NewReader("body of "+q.id))
+	req, _ := http.NewRequestWithContext(ctx, rt.method, "http://"+address+rt.path, strings.NewReader(body))
 	req.Host = host
 	req.GetBody = nil
 	req.Header.Set("X-Attempt-Id", q.id)
@@ -142,7 +143,7 @@
 		req.Header.Set("X-Prompt-Prefix", fmt.Sprintf("5c1e07a2:%d,%s:%d", rt.prompt/2, q.id, rt.prompt-rt.prompt/2))
 	}
 	c.record.send(q)
-	resp, err := client.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		if errors.Is(err, context.DeadlineExceeded) {
 			c.record.answered(q, 0, false, "(no answer in time)")
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -9,14 +9,12 @@
 
 // request is what became of one client attempt.
 type request struct {
-	id, tenant        string
-	sent, ended       time.Time
-	prompt, maxOutput int64
-	instance          string
-	status            int
-	complete          bool
-	// reused is set if the request was sent on a kept connection.
-	reused                 bool
+	id, tenant             string
+	sent, ended            time.Time
+	prompt, maxOutput      int64
+	instance               string
+	status                 int
+	complete               bool
 	delivered              int64
 	runs                   []run
 	tokensRead, tokensMade int64
