Suspend registrations of silent instances; play returns of the store end to end

What callers would have seen: after a return of the store, no token of any budget granted for as long as an instance that had lost power long before was listed, since the others waited for it to repeat its grants.

Cause: every listed instance was waited for. Change: the writer of the ledger suspends the registration of an instance that is silent for 10 s, one that stops ends its own; neither is waited for, and their grants in the ledger count as they are. New: the metric plantainfield_platform_era, and a stand-in platform that goes back to an older copy (GoBack, /control/back).

--- a/core/ledgerera/ledgerera.go
+++ b/core/ledgerera/ledgerera.go
@@ -9,9 +9,9 @@
 // again.
 //
 // An incarnation that has ended repeats nothing. What it held is known for certain
-// only if a later incarnation of its instance is registered in the version to which
-// the object is restored, since nothing was granted to it after that. Otherwise
-// what is left stays withheld.
+// only if, in the version to which the object is restored, a later incarnation of
+// its instance is registered or its own registration is suspended, since nothing
+// was granted to it after that. Otherwise what is left stays withheld.
 package ledgerera
 
 import (
@@ -29,7 +29,8 @@
 // Unreported holds the flags. Grants has an entry for each holder that is
 // registered; its sequence number is the era in which it last registered, which
 // says that it has repeated its grants, and Final is set if it was registered in
-// the version to which the shard is restored.
+// the version to which the shard is restored. Closed suspends the registration of a
+// silent holder, which must register again before it makes operations.
 const StateBudget = ""
 
 // Unaccounted is the holder of the tokens that are withheld from a budget.
@@ -49,7 +50,7 @@
 
 // Fleet is what is known of the holders.
 type Fleet interface {
-	// Holders returns the running incarnations of the other instances.
+	// Holders returns the incarnations of the other instances that seem to run.
 	Holders() []ledger.Holder
 	// Replaced reports whether a holder has ended for certain.
 	Replaced(h ledger.Holder) bool
@@ -157,7 +158,13 @@
 
 func reported(s *ledger.Shard, h ledger.Holder) bool {
 	st := s.Budgets[StateBudget]
-	return st != nil && st.Grants[h] != nil && st.Grants[h].Sequence == st.Generation
+	return st != nil && st.Grants[h] != nil && st.Grants[h].Sequence == st.Generation && !st.Grants[h].Closed
+}
+
+// suspended reports whether a holder's registration is suspended.
+func suspended(s *ledger.Shard, h ledger.Holder) bool {
+	st := s.Budgets[StateBudget]
+	return st != nil && st.Grants[h] != nil && st.Grants[h].Closed
 }
 
 // ReportDue reports whether a holder must repeat its grants before it makes other
@@ -172,8 +179,13 @@
 	return eraOf(s) == k.era && !reported(s, h) && (Pending(s) || k.era > k.first)
 }
 
-// Registration returns the operation on StateBudget that registers a holder. If
-// its report is due, the operations beside it must repeat all its grants.
+// Restored reports whether a shard is one of the newest era in which all grants
+// have been repeated.
+func (k *Keeper) Restored(s *ledger.Shard) bool { return !k.Outdated(s) && !Pending(s) }
+
+// Registration returns the operation on StateBudget that registers a holder, or
+// with Final set ends its registration. If its report is due, the operations beside
+// it must repeat all its grants.
 func (k *Keeper) Registration(h ledger.Holder) *ledger.Operation {
 	return &ledger.Operation{Holder: h, Sequence: k.era, Restore: &ledger.Restore{}}
 }
@@ -195,12 +207,16 @@
 			return instanceOf(h) == instanceOf(op.Holder)
 		})
 	}
+	if op.Final {
+		delete(st.Grants, op.Holder)
+		return
+	}
 	g := st.Grants[op.Holder]
 	if g == nil {
 		g = &ledger.Grant{}
 		st.Grants[op.Holder] = g
 	}
-	g.Sequence = op.Sequence
+	g.Sequence, g.Closed = op.Sequence, false
 }
 
 func instanceOf(h ledger.Holder) string {
@@ -277,6 +293,9 @@
 	if seen := own.seen.Budgets[StateBudget]; seen != nil {
 		st.Unreported |= seen.Unreported & flagUncertain
 		setBase(st, registeredIn(own.seen))
+		for h, g := range st.Grants {
+			g.Closed = !reported(s, h) && suspended(own.seen, h)
+		}
 	}
 	st.Target = own.order
 }
@@ -291,10 +310,10 @@
 
 // Admit returns an operation as it may be applied to a shard, and whether it may.
 // While grants are repeated nothing is granted, and a holder's other operations
-// wait for its report.
+// wait for its report. A holder whose registration is suspended registers first.
 func Admit(s *ledger.Shard, op ledger.Operation) (ledger.Operation, bool) {
 	if !Pending(s) {
-		return op, true
+		return op, op.Restore != nil || !suspended(s, op.Holder)
 	}
 	op.Want, op.Minimum = 0, 0
 	return op, op.Restore != nil || reported(s, op.Holder)
@@ -309,9 +328,12 @@
 	}
 }
 
-// succeeded reports whether another incarnation of a holder's instance had
-// registered in the version to which a shard is restored.
+// succeeded reports whether, in the version to which a shard is restored, another
+// incarnation of a holder's instance was registered or the holder was suspended.
 func succeeded(s *ledger.Shard, h ledger.Holder) bool {
+	if suspended(s, h) {
+		return true
+	}
 	for other, g := range s.Budgets[StateBudget].Grants {
 		if other != h && g.Final && instanceOf(other) == instanceOf(h) {
 			return true
@@ -344,7 +366,7 @@
 func (k *Keeper) registered(index int, s *ledger.Shard) []ledger.Holder {
 	all := slices.Collect(maps.Keys(k.shards[index].expected))
 	for h, g := range s.Budgets[StateBudget].Grants {
-		if g.Final {
+		if g.Final && !g.Closed {
 			all = append(all, h)
 		}
 	}
@@ -386,7 +408,7 @@
 	accounted := map[string]bool{}
 	st := s.Budgets[StateBudget]
 	for h, g := range st.Grants {
-		if g.Final && reported(s, h) {
+		if g.Final && (reported(s, h) || g.Closed) {
 			accounted[instanceOf(h)] = true
 		}
 	}
@@ -429,7 +451,7 @@
 			}
 		}
 	}
-	maps.DeleteFunc(st.Grants, func(h ledger.Holder, _ *ledger.Grant) bool { return !reported(s, h) })
+	maps.DeleteFunc(st.Grants, func(h ledger.Holder, g *ledger.Grant) bool { return !reported(s, h) && !g.Closed })
 	for _, g := range st.Grants {
 		g.Final = false
 	}
--- a/core/node/eras.go
+++ b/core/node/eras.go
@@ -16,11 +16,11 @@
 // holders implements ledgerera.Fleet.
 type holders struct{ *Node }
 
-// Holders returns the running incarnations of the other instances.
+// Holders returns the incarnations of the other instances that seem to run.
 func (f holders) Holders() []ledger.Holder {
 	var all []ledger.Holder
 	for _, name := range f.members.peerNames() {
-		if p := f.members.peers[name]; !f.departed(p) {
+		if p := f.members.peers[name]; f.live(p) {
 			all = append(all, p.holder())
 		}
 	}
@@ -64,7 +64,13 @@
 
 // reportDue reports whether this instance must repeat its grants in a shard.
 func (n *Node) reportDue(s *ledgerShard) bool {
-	return n.eras.Unseen(s.index) && n.book.KnownOutside(s.index) || (s.known || s.summary) && n.eras.ReportDue(s.shard, n.holder)
+	if n.eras.Unseen(s.index) {
+		return n.book.KnownOutside(s.index)
+	}
+	if !s.known && !s.summary || n.eras.Restored(s.shard) && n.returnsAll(s) {
+		return false
+	}
+	return n.eras.ReportDue(s.shard, n.holder)
 }
 
 // restoreOperations returns the operations that repeat this instance's grants.
@@ -102,13 +108,27 @@
 	return true
 }
 
-// addRegistration adds the registration of this instance to its operations.
+// addRegistration adds the registration of this instance to its operations, or its
+// end to the last ones of an instance that stops.
 func (n *Node) addRegistration(s *ledgerShard, ops map[string]*ledger.Operation) {
-	if n.needsRegistration(s) {
+	switch {
+	case n.needsRegistration(s):
+		ops[ledgerera.StateBudget] = n.eras.Registration(n.holder)
+	case n.eras.Era() > 0 && len(ops) > 0 && n.eras.Restored(s.shard) && n.returnsAll(s):
 		ops[ledgerera.StateBudget] = n.eras.Registration(n.holder)
+		ops[ledgerera.StateBudget].Final = true
 	}
 }
 
+// returnsAll reports whether the operations that are open in a shard leave this
+// instance, which stops, without a grant.
+func (n *Node) returnsAll(s *ledgerShard) bool {
+	return n.stopping && n.requests.open() == 0 && !slices.ContainsFunc(n.book.BudgetsInShard(s.index), func(name string) bool {
+		a := n.book.Lookup(name)
+		return !a.Returned() && (a.Open() == nil || !a.Open().Final)
+	})
+}
+
 // budgetsToSee returns the budgets whose state this instance needs of a shard.
 func (n *Node) budgetsToSee(s *ledgerShard) []string {
 	names := n.book.BudgetsInShard(s.index)
--- a/core/node/gonegrants.go
+++ b/core/node/gonegrants.go
@@ -122,6 +122,8 @@
 	for _, g := range n.goneGrants(s) {
 		b := s.Budgets[g.budget]
 		switch {
+		case g.budget == ledgerera.StateBudget && !g.compact:
+			b.Close(g.holder) // suspends the registration
 		case g.compact:
 			b.Compact(g.holder)
 			delete(n.ledgers.refresh.idle, g.grantKey)
@@ -176,11 +178,15 @@
 	for _, name := range sortedKeys(s.Budgets) {
 		b := s.Budgets[name]
 		for _, h := range b.HolderNames() {
-			if name == ledgerera.StateBudget || h == ledgerera.Unaccounted {
+			registration := name == ledgerera.StateBudget
+			if h == ledgerera.Unaccounted || registration && ledgerera.Pending(s) {
 				continue
 			}
 			key := grantKey{name, h}
 			wait, presumed := n.presumedGone(h)
+			if registration {
+				wait, presumed = n.presumedSilent(h)
+			}
 			closed := b.Grants[h].Closed
 			if closed {
 				presumed = presumed && wait == replacedAfter
@@ -224,6 +230,17 @@
 	return missingAfter, listed
 }
 
+// presumedSilent is presumedGone for the registration of a holder, which is
+// suspended also while its instance is listed but silent.
+func (n *Node) presumedSilent(h ledger.Holder) (time.Duration, bool) {
+	wait, gone := n.presumedGone(h)
+	name, _ := splitHolder(h)
+	if p := n.members.peers[name]; !gone && p != nil && !n.live(p) {
+		return missingAfter, true
+	}
+	return wait, gone
+}
+
 // splitHolder returns the name and the incarnation of the instance that a holder is.
 func splitHolder(h ledger.Holder) (name, incarnation string) {
 	name, incarnation, _ = strings.Cut(string(h), "/")
--- a/core/node/storereturn_test.go
+++ b/core/node/storereturn_test.go
@@ -109,6 +109,33 @@
 	})
 }
 
+// TestInstancesThatWereSilentBeforeTheCopyDoNotHoldTokensUp guards against tokens
+// that stay withheld because an instance that had ended long before the store came
+// back can't repeat its grants.
+func TestInstancesThatWereSilentBeforeTheCopyDoNotHoldTokensUp(t *testing.T) {
+	for _, end := range []string{"lost power", "stopped"} {
+		Convey("An instance "+end+" long before the copy", t, func() {
+			const prepaid = 3000
+			w := returningWorld(4, prepaid, true)
+			gone := w.nodes["n4"]
+			if end == "stopped" {
+				w.step(gone, event.Event{ShutdownRequired: &event.ShutdownRequired{}})
+				w.runFor(3 * time.Second)
+			}
+			gone.paused = true
+			w.spendAt("n1", 40)
+			w.runFor(20 * time.Second)
+			c := w.copyLedger()
+			w.spendAt("n1", 100)
+			w.restoreLedger(c)
+			w.runFor(3 * time.Second)
+			w.spendAt("n2", 1000)
+			So(w.consumed("b"), ShouldBeLessThanOrEqualTo, prepaid)
+			So(w.consumed("b"), ShouldBeGreaterThan, prepaid*3/4)
+		})
+	}
+}
+
 // returnRun is a token run whose store comes back from copies of any age.
 type returnRun struct {
 	*tokenRun
--- a/fleet/callstats/callstats.go
+++ b/fleet/callstats/callstats.go
@@ -43,13 +43,28 @@
 // prometheus.Collector.
 type Recorder struct {
 	mu sync.Mutex
-	// totals is guarded by mu.
+	// totals is guarded by mu, as is era.
 	totals map[Key]Totals
+	era    uint64
 }
 
 // NewRecorder returns a Recorder without calls.
 func NewRecorder() *Recorder { return &Recorder{totals: map[Key]Totals{}} }
 
+// SetEra records the newest era in which the platform answered.
+func (r *Recorder) SetEra(era uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.era = era
+}
+
+// Era returns the newest era in which the platform answered, or 0 for none.
+func (r *Recorder) Era() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.era
+}
+
 // Observe counts a call.
 func (r *Recorder) Observe(c Call) {
 	r.mu.Lock()
@@ -79,11 +94,12 @@
 	sentDesc     = prometheus.NewDesc("plantainfield_platform_sent_bytes_total", "Size of the bodies sent to the platform.", labels, nil)
 	receivedDesc = prometheus.NewDesc("plantainfield_platform_received_bytes_total", "Size of the bodies received from the platform.", labels, nil)
 	secondsDesc  = prometheus.NewDesc("plantainfield_platform_call_seconds_total", "Time that calls to the platform took.", labels, nil)
+	eraDesc      = prometheus.NewDesc("plantainfield_platform_era", "Newest era of the platform's store plus 1; 0 for a store without eras. It rises when the store comes back from a copy.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (r *Recorder) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{callsDesc, sentDesc, receivedDesc, secondsDesc} {
+	for _, d := range []*prometheus.Desc{callsDesc, sentDesc, receivedDesc, secondsDesc, eraDesc} {
 		ch <- d
 	}
 }
@@ -99,6 +115,7 @@
 		counter(receivedDesc, float64(t.ReceivedBytes))
 		counter(secondsDesc, t.Took.Seconds())
 	}
+	ch <- prometheus.MustNewConstMetric(eraDesc, prometheus.GaugeValue, float64(r.Era()))
 }
 
 // logLine is one Key's part of a log line.
--- a/standins/platform/server.go
+++ b/standins/platform/server.go
@@ -81,11 +81,12 @@
 	}
 }
 
-// Handler returns the HTTP handler. Paths below /control set faults and return
-// statistics; neither faults nor rate limits apply to them.
+// Handler returns the HTTP handler. Paths below /control set faults, go back to an
+// older copy of the objects and return statistics; neither faults nor rate limits apply to them.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/control/faults", s.handleSetFaults).Methods(http.MethodPost)
+	r.HandleFunc("/control/back", s.handleGoBack).Methods(http.MethodPost)
 	r.HandleFunc("/control/stats", s.handleStats).Methods(http.MethodGet)
 	api := r.PathPrefix("/apis/" + wire.APIVersion).Subrouter()
 	api.HandleFunc("/{plural}", s.withLimitsAndFaults(s.listOrWatch)).Methods(http.MethodGet)
--- a/standins/platform/store.go
+++ b/standins/platform/store.go
@@ -22,6 +22,9 @@
 	revision uint64
 	plural   string
 	event    wire.WatchEvent
+	at       time.Time
+	// before is the object before the change, or nil if there was none.
+	before *wire.Resource
 }
 
 // store holds objects by collection (a resource plural) and name, and the history
@@ -31,12 +34,14 @@
 	objects  map[string]map[string]wire.Resource
 	revision uint64
 	history  []change
+	// era rises each time the store goes back to a copy.
+	era uint64
 	// nextChange is closed and replaced on each change.
 	nextChange chan struct{}
 }
 
 func newStore() *store {
-	return &store{objects: map[string]map[string]wire.Resource{}, nextChange: make(chan struct{})}
+	return &store{objects: map[string]map[string]wire.Resource{}, nextChange: make(chan struct{}), era: 1}
 }
 
 // writeResult is the outcome of a write.
@@ -80,7 +85,7 @@
 		return notFound
 	}
 	delete(s.objects[plural], name)
-	s.record(plural, wire.WatchEvent{Type: "DELETED", Object: old})
+	s.record(plural, wire.WatchEvent{Type: "DELETED", Object: old}, &old)
 	return written
 }
 
@@ -89,17 +94,21 @@
 	if s.objects[plural] == nil {
 		s.objects[plural] = map[string]wire.Resource{}
 	}
+	var before *wire.Resource
+	if old, ok := s.objects[plural][r.Metadata.Name]; ok {
+		before = &old
+	}
 	r.Metadata.ResourceVersion = strconv.FormatUint(s.revision+1, 10)
 	s.objects[plural][r.Metadata.Name] = r
-	s.record(plural, wire.WatchEvent{Type: eventType, Object: r})
+	s.record(plural, wire.WatchEvent{Type: eventType, Object: r}, before)
 	return r
 }
 
 // record appends a change to the history and wakes the watches. The caller holds
 // mu.
-func (s *store) record(plural string, e wire.WatchEvent) {
+func (s *store) record(plural string, e wire.WatchEvent, before *wire.Resource) {
 	s.revision++
-	s.history = append(s.history, change{s.revision, plural, e})
+	s.history = append(s.history, change{s.revision, plural, e, time.Now(), before})
 	if len(s.history) > maxHistory {
 		s.history = slices.Delete(s.history, 0, len(s.history)-maxHistory)
 	}
@@ -137,7 +146,7 @@
 func (s *store) since(plural string, after uint64) (events []wire.WatchEvent, reached uint64, more <-chan struct{}, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.history) > 0 && s.history[0].revision > after+1 {
+	if after > s.revision || len(s.history) > 0 && s.history[0].revision > after+1 {
 		return nil, 0, nil, false
 	}
 	for _, c := range s.history {
