Keep waiting for holders when the update that ends a restoring fails

What callers could have seen: tokens granted twice after a return of the store, when the update that would have ended the restoring met another one: the instance then no longer waited for holders that the copy lacks.

Cause: the keeper dropped what it knows of a shard when it computed the next version, before that was written. Change: it drops it when a restored version has been seen. Test: TestAVersionThatIsNotWrittenChangesNothing (failed before: an outcome where none is due).

Beside it: withheld tokens count neither as unspent nor as held by others when grants are sized, the end of a registration counts for nothing while grants are repeated, and the shard's state is left out of the log's sums.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -237,7 +237,7 @@
 const Others Holder = ""
 
 // Summary returns the budget as far as one holder needs to know it: its own
-// grant, those that reported transfers to it, and the sum of the others as the
+// grant, those that reported transfers to it, what is withheld, and the sum of the others as the
 // grant of Others. The amounts that are settled, outstanding and available are
 // those of the budget.
 func (b *Budget) Summary(self Holder) *Budget {
@@ -246,7 +246,7 @@
 	rest := &Grant{}
 	for h, g := range b.Grants {
 		switch {
-		case h == self || g.Sent[self] > 0:
+		case h == self || h == Unaccounted || g.Sent[self] > 0:
 			s.Grants[h] = g.clone()
 		case g.Closed:
 			s.Settled += g.Granted
--- a/core/ledger/restore.go
+++ b/core/ledger/restore.go
@@ -1,5 +1,9 @@
 package ledger
 
+// Unaccounted is the holder of tokens that are withheld because holders may have been
+// granted them in versions that the store lost.
+const Unaccounted Holder = "*/0"
+
 // Restore is what a holder knows of its own grant, which it repeats after the
 // store came back from an older copy. All counters are cumulative, in tokens.
 type Restore struct {
@@ -76,24 +80,32 @@
 	b.fitPrepaid()
 }
 
-// Withhold grants a holder all that the budget could have granted to others at the
-// largest total since the holder's grant was made, or at another total if that is
-// larger. The grant's sequence number is that total.
-func (b *Budget) Withhold(h Holder, total int64) {
+// Withhold grants to Unaccounted all that the budget could have granted at the largest
+// total since that grant was made, or at another total if that is larger. The grant's
+// sequence number is that total.
+func (b *Budget) Withhold(total int64) {
 	total = max(total, b.Target)
-	if g := b.Grants[h]; g != nil {
+	if g := b.Grants[Unaccounted]; g != nil {
 		total = max(total, int64(g.Sequence))
 	}
-	delete(b.Grants, h)
+	delete(b.Grants, Unaccounted)
 	if b.Grants == nil {
 		b.Grants = map[Holder]*Grant{}
 	}
-	b.Grants[h] = &Grant{Sequence: uint64(total), Granted: max(0, total-b.Committed())}
+	b.Grants[Unaccounted] = &Grant{Sequence: uint64(total), Granted: max(0, total-b.Committed())}
 	b.fitPrepaid()
 }
 
-// Release removes the grant of a holder that has spent nothing of it.
-func (b *Budget) Release(h Holder) {
-	delete(b.Grants, h)
+// Withheld returns the tokens that are withheld.
+func (b *Budget) Withheld() int64 {
+	if g := b.Grants[Unaccounted]; g != nil {
+		return g.Granted
+	}
+	return 0
+}
+
+// Release makes the withheld tokens available.
+func (b *Budget) Release() {
+	delete(b.Grants, Unaccounted)
 	b.fitPrepaid()
 }
--- a/core/ledgerera/ledgerera.go
+++ b/core/ledgerera/ledgerera.go
@@ -33,9 +33,6 @@
 // silent holder, which must register again before it makes operations.
 const StateBudget = ""
 
-// Unaccounted is the holder of the tokens that are withheld from a budget.
-const Unaccounted ledger.Holder = "*/0"
-
 const (
 	flagPending   = 1
 	flagUncertain = 2
@@ -74,8 +71,7 @@
 	// place among all versions.
 	seen  *ledger.Shard
 	order int64
-	// expected holds the holders that were known when the store came back and have
-	// not repeated their grants yet.
+	// expected holds the holders that seemed to run when the store came back.
 	expected map[ledger.Holder]bool
 }
 
@@ -121,8 +117,14 @@
 // Unseen reports whether a shard has not been seen since the store came back.
 func (k *Keeper) Unseen(index int) bool { return k.shards[index].unseen }
 
-// Seen records that a shard has been seen in the newest era.
-func (k *Keeper) Seen(index int) { k.shards[index].unseen = false }
+// Seen records that a shard has been seen in the newest era. Once it is restored,
+// nothing is kept for it any more.
+func (k *Keeper) Seen(index int, s *ledger.Shard) {
+	k.shards[index].unseen = false
+	if k.Restored(s) {
+		k.shards[index] = shardState{}
+	}
+}
 
 // versionOrder returns the place of a shard's version among those of all eras.
 func versionOrder(s *ledger.Shard, version string) int64 {
@@ -199,7 +201,7 @@
 // those of earlier incarnations, except while grants are repeated.
 func Register(s *ledger.Shard, op ledger.Operation) {
 	st := s.Budget(StateBudget)
-	if op.Sequence != st.Generation {
+	if op.Sequence != st.Generation || op.Final && Pending(s) {
 		return
 	}
 	if !Pending(s) {
@@ -282,12 +284,12 @@
 	if own.seen == nil || own.order <= st.Target {
 		return
 	}
-	current := func(h ledger.Holder) bool { return h == Unaccounted || reported(s, h) }
+	current := func(h ledger.Holder) bool { return h == ledger.Unaccounted || reported(s, h) }
 	for name, seen := range own.seen.Budgets {
 		if name != StateBudget {
 			b := s.Budget(name)
 			b.Join(seen, current)
-			b.Withhold(Unaccounted, seen.Target)
+			b.Withhold(seen.Target)
 		}
 	}
 	if seen := own.seen.Budgets[StateBudget]; seen != nil {
@@ -303,7 +305,7 @@
 func withholdAll(s *ledger.Shard) {
 	for name, b := range s.Budgets {
 		if name != StateBudget {
-			b.Withhold(Unaccounted, 0)
+			b.Withhold(0)
 		}
 	}
 }
@@ -392,7 +394,7 @@
 func anyUnreported(s *ledger.Shard) bool {
 	for name, b := range s.Budgets {
 		for h, g := range b.Grants {
-			if name != StateBudget && h != Unaccounted && !g.Closed && !reported(s, h) && !succeeded(s, h) {
+			if name != StateBudget && h != ledger.Unaccounted && !g.Closed && !reported(s, h) && !succeeded(s, h) {
 				return true
 			}
 		}
@@ -447,7 +449,7 @@
 	} else {
 		for name, b := range s.Budgets {
 			if name != StateBudget {
-				b.Release(Unaccounted)
+				b.Release()
 			}
 		}
 	}
@@ -455,7 +457,6 @@
 	for _, g := range st.Grants {
 		g.Final = false
 	}
-	k.shards[index] = shardState{}
 	return &Outcome{Unaccounted: unaccounted, Withheld: Withheld(s)}
 }
 
@@ -463,9 +464,7 @@
 func Withheld(s *ledger.Shard) int64 {
 	var sum int64
 	for b := range maps.Values(s.Budgets) {
-		if g := b.Grants[Unaccounted]; g != nil {
-			sum += g.Granted
-		}
+		sum += b.Withheld()
 	}
 	return sum
 }
--- a/core/ledgerera/ledgerera_test.go
+++ b/core/ledgerera/ledgerera_test.go
@@ -52,7 +52,7 @@
 		So(k.Begin(0, s, "7", noBudgets), ShouldBeTrue)
 		So(s.Budgets["b"].Available(), ShouldEqual, 0)
 		Convey("and stays so when the build before closes and rewrites the object", func() {
-			s.Budgets["b"].Close(Unaccounted)
+			s.Budgets["b"].Close(ledger.Unaccounted)
 			s.Budgets["b"].Apply(ledger.Operation{Holder: "n2/1", Sequence: 1, Want: 50})
 			raw, err := s.Encode()
 			So(err, ShouldBeNil)
@@ -130,3 +130,27 @@
 		So(s.Budgets["b"].Available(), ShouldEqual, 100-10-20-30)
 	})
 }
+
+// TestAVersionThatIsNotWrittenChangesNothing guards against an instance that forgets
+// whom to wait for when its update, which would have ended the restoring, meets
+// another one.
+func TestAVersionThatIsNotWrittenChangesNothing(t *testing.T) {
+	Convey("Given an update that would end the restoring of a shard, and fails", t, func() {
+		k := NewKeeper(1)
+		k.Observe(2)
+		k.Observe(3)
+		k.Returned(0, nil, "", fleet{running: []ledger.Holder{"n3/1"}})
+		report := func(s *ledger.Shard, holders ...ledger.Holder) *Outcome {
+			k.Begin(0, s, "7", noBudgets)
+			for _, h := range holders {
+				Register(s, *k.Registration(h))
+				s.Budget("b").Apply(ledger.Operation{Holder: h, Sequence: 9, Restore: &ledger.Restore{Total: 5}})
+			}
+			return k.Finish(0, s, fleet{})
+		}
+		So(report(decoded(registered), "n1/1", "n2/1", "n3/1"), ShouldNotBeNil)
+		Convey("the next one waits for the same holders", func() {
+			So(report(decoded(registered), "n1/1", "n2/1"), ShouldBeNil)
+		})
+	})
+}
--- a/core/node/gonegrants.go
+++ b/core/node/gonegrants.go
@@ -179,7 +179,7 @@
 		b := s.Budgets[name]
 		for _, h := range b.HolderNames() {
 			registration := name == ledgerera.StateBudget
-			if h == ledgerera.Unaccounted || registration && ledgerera.Pending(s) {
+			if h == ledger.Unaccounted || registration && ledgerera.Pending(s) {
 				continue
 			}
 			key := grantKey{name, h}
--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -142,7 +142,7 @@
 	}
 	canServe, others := 0, 0
 	for h, g := range b.Grants {
-		if h == n.holder || g.Closed {
+		if h == n.holder || h == ledger.Unaccounted || g.Closed {
 			continue
 		}
 		others++
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -12,6 +12,7 @@
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/ledger"
+	"plantainfield.example/core/ledgerera"
 )
 
 // ledgerShard is this instance's view of one ledger object and the state of the
@@ -331,7 +332,8 @@
 	sz.Prepaid = total
 	sz.LedgerAvailable = max(0, total-b.Committed())
 	sz.Excess = b.Committed() - total
-	sz.Unspent, sz.Outstanding = max(0, total-b.SettledTotal()), b.Outstanding()
+	withheld := b.Withheld() // neither unspent nor at a holder, as far as is known
+	sz.Unspent, sz.Outstanding = max(0, total-b.SettledTotal()-withheld), b.Outstanding()-withheld
 	return sz
 }
 
@@ -370,7 +372,7 @@
 			}
 		case event.PlatformNotFound:
 			s.version, s.shard, s.known, s.summary, s.seenAt = "", &ledger.Shard{}, true, false, n.now
-			n.eras.Seen(s.index)
+			n.eras.Seen(s.index, s.shard)
 		default:
 			n.failLedgerUpdate(s)
 			return
@@ -388,7 +390,7 @@
 		return false
 	}
 	s.version, s.shard, s.bytes, s.known, s.summary, s.seenAt = o.Version, shard, len(o.Value), true, false, n.now
-	n.eras.Seen(s.index)
+	n.eras.Seen(s.index, shard)
 	return true
 }
 
@@ -454,6 +456,7 @@
 		switch r.Status {
 		case event.PlatformOK:
 			s.version, s.shard, s.bytes, s.seenAt = r.Object.Version, next, len(raw), n.now
+			n.eras.Seen(s.index, next)
 			n.observeUpdateTime(s)
 			n.logLedgerUpdate(s, len(ops), len(remote))
 			n.logClosedGrants(closed)
@@ -550,6 +553,9 @@
 	grants := 0
 	for _, name := range sortedKeys(s.shard.Budgets) {
 		b := s.shard.Budgets[name]
+		if name == ledgerera.StateBudget {
+			continue
+		}
 		prepaid += b.Prepaid
 		settled += b.SettledTotal()
 		unreported += b.UnreportedTotal()
--- a/core/node/ledgerwriter.go
+++ b/core/node/ledgerwriter.go
@@ -165,7 +165,7 @@
 		s.delegation = nil
 		n.setSummaries(s, d.Budgets, m.Budgets)
 		if m.Era == n.eras.Era() {
-			n.eras.Seen(s.index)
+			n.eras.Seen(s.index, s.shard)
 		}
 		n.reconcileBudgets(s, d.Budgets)
 		if len(d.Operations) > 0 {
