Refuse as exhausted only what reported spending leaves uncovered

Cause: exceedsBudget and budgetCovers took the unreported part of a closed grant for consumed.

Change: budgetRefusal, the one place that chooses the kind, compares the request with the total less Budget.Consumed. Otherwise the kind is budget_unsettled (429), of its own, so that the own interface tells the two cases apart as well; BudgetCovers goes. It replaces these answers too: a total that was raised and isn't in the ledger yet, a budget that this instance has not seen, and a peer's refusal after a hand-over. The wait is 2 s while running holders have the tokens, and compactAfter (10 s) if only tokens of lost holders would cover the request. The request is still refused at once.

This changes the answer only: callers are not served by it. What killed holders never spent is still charged.

--- a/bench/load/check_budgets.go
+++ b/bench/load/check_budgets.go
@@ -11,7 +11,7 @@
 
 // budgetRefusals are the error kinds of requests that were refused because the
 // budget was exhausted or could not be reached.
-var budgetRefusals = []errkind.Kind{errkind.BudgetExhausted, errkind.BudgetUnavailable, errkind.Isolated}
+var budgetRefusals = []errkind.Kind{errkind.BudgetExhausted, errkind.BudgetUnsettled, errkind.BudgetUnavailable, errkind.Isolated}
 
 // falseRefusal returns the first send that was refused for lack of budget although
 // the budget could have covered it, or nil. The budget covers a request if its
--- a/core/budget/account.go
+++ b/core/budget/account.go
@@ -238,7 +238,7 @@
 	for _, from := range b.HolderNames() {
 		a.Receive(from, b.Grants[from].Sent[self])
 	}
-	a.countFleet(b.SettledTotal() - b.UnreportedTotal())
+	a.countFleet(b.Consumed())
 	if b.Prepaid > 0 {
 		a.lostShare = float64(b.UnreportedTotal()) / float64(b.Prepaid)
 	}
--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -23,6 +23,7 @@
 	TooManyStreams            Kind = "too_many_streams"
 	BudgetExhausted           Kind = "budget_exhausted"
 	BudgetUnavailable         Kind = "budget_unavailable"
+	BudgetUnsettled           Kind = "budget_unsettled"
 	KeyReused                 Kind = "idempotency_key_reused"
 	InProgress                Kind = "request_in_progress"
 	OutcomeUnknown            Kind = "outcome_unknown"
@@ -99,6 +100,7 @@
 	TooManyStreams:       {http.StatusTooManyRequests, typeRateLimit, RanNo, 1, "the instance serves its maximum of concurrent requests"},
 	BudgetExhausted:      {http.StatusTooManyRequests, typeQuota, RanNo, 60, "the prepaid budget does not cover the request"},
 	BudgetUnavailable:    {http.StatusServiceUnavailable, typeServer, RanNo, 5, "no part of the budget can be obtained at the moment"},
+	BudgetUnsettled:      {http.StatusTooManyRequests, typeRateLimit, RanNo, 2, "the rest of the prepaid budget is held by others or not accounted for yet"},
 	KeyReused:            {http.StatusUnprocessableEntity, typeInvalid, RanNo, 0, "the idempotency key was used with another body"},
 	InProgress:           {http.StatusConflict, typeConflict, RanUnknown, 1, "a request with this idempotency key is running"},
 	OutcomeUnknown:       {http.StatusConflict, typeConflict, RanUnknown, 0, "the request may have run; its outcome is not known"},
--- a/core/event/action.go
+++ b/core/event/action.go
@@ -85,9 +85,6 @@
 	Kind       errkind.Kind  `json:"kind"`
 	Ran        errkind.Ran   `json:"ran"`
 	RetryAfter time.Duration `json:"retryAfter"`
-	// BudgetCovers is set if the budget covers the request, but other instances
-	// hold its tokens at the moment.
-	BudgetCovers bool `json:"budgetCovers,omitempty"`
 }
 
 // ReplayAnswer answers a request with the recorded answer of an earlier run.
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -186,6 +186,10 @@
 	return sum
 }
 
+// Consumed returns what holders have reported as spent. Only this part of the
+// prepaid total is known not to come back.
+func (b *Budget) Consumed() int64 { return b.SettledTotal() - b.UnreportedTotal() }
+
 // Outstanding returns what open grants may still spend.
 func (b *Budget) Outstanding() int64 { return b.Committed() - b.SettledTotal() }
 
--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -53,11 +53,8 @@
 	if rd != nil {
 		peersAsked = len(rd.offers) + len(rd.pending)
 	}
-	b := s.shard.Budgets[r.Budget]
-	if b == nil {
-		b = &ledger.Budget{}
-	}
-	n.logChange("tokens unavailable", "request", r.Key, "budget", r.Budget, "kind", string(r.refusal), "tokens", r.WorstCaseTokens, "waited", n.now-r.since,
+	b := n.lastKnown(r.Budget)
+	n.logChange("tokens unavailable", "request", r.Key, "budget", r.Budget, "kind", string(n.budgetRefusal(r, r.refusal)), "tokens", r.WorstCaseTokens, "waited", n.now-r.since,
 		"own_available", n.book.Lookup(r.Budget).Available(), "ledger_available", n.sizing(s, r.Budget).LedgerAvailable, "ledger_age", n.now-s.seenAt,
 		"updating", updating, "conflicts", s.conflicts+s.objectConflicts, "failures", s.failures, "peers_asked", peersAsked,
 		"prepaid", b.Prepaid, "settled", b.SettledTotal(), "unreported", b.UnreportedTotal(), "outstanding", b.Outstanding())
@@ -100,17 +97,13 @@
 	case r.callerGone:
 		n.finishRefused(r, errkind.CallerGone)
 	case n.tryReserve(r):
-	case e.Kind == errkind.BudgetExhausted:
+	case e.Kind == errkind.BudgetExhausted || e.Kind == errkind.BudgetUnsettled:
 		n.finishRefused(r, e.Kind)
 	default:
 		n.finishRefused(r, r.refusal)
 	}
 }
 
-// busyRetryAfter is the time until a caller should retry if a budget covers its
-// request but other requests hold the tokens.
-const busyRetryAfter = 2 * time.Second
-
 // otherHolderRetryAfter is the time until a caller should retry, at another
 // instance, if this one can obtain no tokens at the moment and may not hand the
 // request over (a peer already did, or this instance never does): others may
@@ -153,26 +146,49 @@
 	return 2*canServe > others
 }
 
-// budgetCovers reports whether a request that is refused for lack of tokens may
-// be served once others have returned what they hold.
-func (n *Node) budgetCovers(r *request, kind errkind.Kind) bool {
+// budgetRefusal returns the kind of a refusal for lack of tokens: the budget counts
+// as exhausted only if what its holders have reported as spent leaves too little.
+// What they hold, and what a holder that is gone has not reported, may come back.
+func (n *Node) budgetRefusal(r *request, kind errkind.Kind) errkind.Kind {
 	if kind != errkind.BudgetExhausted {
-		return false
+		return kind
+	}
+	b := n.lastKnown(r.Budget)
+	if n.totalInForce(r.Budget, b)-b.Consumed() >= r.WorstCaseTokens {
+		return errkind.BudgetUnsettled
+	}
+	return kind
+}
+
+// lastKnown returns a budget as it was when the ledger was last seen.
+func (n *Node) lastKnown(budgetName string) *ledger.Budget {
+	if b := n.ledgers.shardOf(budgetName).shard.Budgets[budgetName]; b != nil {
+		return b
 	}
-	b := n.ledgers.shardOf(r.Budget).shard.Budgets[r.Budget]
-	return b != nil && b.Prepaid-b.SettledTotal() >= r.WorstCaseTokens
+	return &ledger.Budget{}
 }
 
+// lostTokensRetryAfter is the time until a caller should retry if only tokens of
+// holders that are gone would cover its request: these are returned or charged for
+// good within compactAfter.
+const lostTokensRetryAfter = compactAfter
+
 // retryAfter is the time until the caller of a refused request should retry.
 func (n *Node) retryAfter(r *request, kind errkind.Kind) time.Duration {
-	if r.retryAfter > 0 {
+	switch {
+	case r.retryAfter > 0:
 		return r.retryAfter
-	}
-	if n.budgetCovers(r, kind) {
-		return busyRetryAfter
-	}
-	if kind == errkind.BudgetUnavailable && (r.HandedOver || r.NoTokenHandOver) && n.othersHaveTokens(r) {
+	case kind == errkind.BudgetUnsettled && n.lacksLostTokens(r):
+		return lostTokensRetryAfter
+	case kind == errkind.BudgetUnavailable && (r.HandedOver || r.NoTokenHandOver) && n.othersHaveTokens(r):
 		return otherHolderRetryAfter
 	}
 	return time.Duration(errkind.Lookup(kind).RetryAfterSeconds) * time.Second
 }
+
+// lacksLostTokens reports whether only tokens that are charged without a report of
+// their holders, or withheld, would cover a request.
+func (n *Node) lacksLostTokens(r *request) bool {
+	b := n.lastKnown(r.Budget)
+	return n.totalInForce(r.Budget, b)-b.SettledTotal()-b.Withheld() < r.WorstCaseTokens
+}
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -426,6 +426,7 @@
 	if !r.Idempotent && r.mayHaveRun && kind != errkind.Quarantined {
 		kind = errkind.OutcomeUnknown
 	}
+	kind = n.budgetRefusal(r, kind)
 	if r.reserved > 0 {
 		n.book.Account(r.Budget).Settle(r.reserved, 0)
 		r.reserved = 0
@@ -436,7 +437,7 @@
 	n.requests.remove(r)
 	n.emit(event.Action{Refuse: &event.Refuse{
 		Request: r.Request, Kind: kind, Ran: ran,
-		RetryAfter: n.retryAfter(r, kind), BudgetCovers: n.budgetCovers(r, kind),
+		RetryAfter: n.retryAfter(r, kind),
 	}})
 }
 
--- /dev/null
+++ b/core/node/unsettled_test.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"plantainfield.example/core/config"
+	"plantainfield.example/core/errkind"
+	"plantainfield.example/core/event"
+)
+
+// TestRequestsThatTokensOfLostHoldersCoverAreNotRefusedAsExhausted guards against
+// refusing a request as not covered because the unreported part of a killed
+// instance's grant was taken for spent.
+func TestRequestsThatTokensOfLostHoldersCoverAreNotRefusedAsExhausted(t *testing.T) {
+	for _, combine := range []bool{false, true} {
+		Convey(fmt.Sprintf("An instance that spent little of its grant is killed (combined updates: %v)", combine), t, func() {
+			const prepaid, spent, request = 1000, 100, 400
+			w := readyWorldWith(3, prepaid, func(p *config.GrantPolicy) {
+				p.Policy, p.SizeTokens, p.CombineUpdates, p.RefillMillis = config.GrantFixed, 800, combine, 300
+			})
+			w.send("n1", exampleRequest("first", spent, true))
+			w.runFor(3 * time.Second)
+			w.startNode("n1")
+			w.listInstances()
+			w.runFor(5 * time.Second)
+			So(w.ledgerBudgets()["b"].SettledTotal(), ShouldBeGreaterThan, prepaid-request)
+			refuse := func(key string, tokens int64) event.Refuse {
+				var got event.Refuse
+				w.hooks.onAction = func(_ *instance, a event.Action) {
+					if a.Refuse != nil {
+						got = *a.Refuse
+					}
+				}
+				c := w.send("n2", exampleRequest(key, tokens, true))
+				So(w.answeredWithin(c, time.Second), ShouldBeTrue)
+				return got
+			}
+			refused := refuse("covered", request)
+			So(refused.Kind, ShouldEqual, errkind.BudgetUnsettled)
+			So(refused.Ran, ShouldEqual, errkind.RanNo)
+			So(refused.RetryAfter, ShouldEqual, lostTokensRetryAfter)
+			So(refuse("more than the total", prepaid+1).Kind, ShouldEqual, errkind.BudgetExhausted)
+			Convey("also after the closed grant was removed", func() {
+				w.send("n3", exampleRequest("other", 10, true))
+				w.runFor(compactAfter + 5*time.Second)
+				w.send("n3", exampleRequest("another", 10, true))
+				w.runFor(2 * time.Second)
+				So(refuse("later", request).Kind, ShouldEqual, errkind.BudgetUnsettled)
+			})
+		})
+	}
+	Convey("A total that was just raised counts before the ledger has it", t, func() {
+		h := newHosted()
+		h.configure(2, 300_000)
+		r := &request{RequestArrived: event.RequestArrived{Budget: "b", WorstCaseTokens: 200_000}}
+		So(h.node.budgetRefusal(r, errkind.BudgetExhausted), ShouldEqual, errkind.BudgetUnsettled)
+		r.WorstCaseTokens = 300_001
+		So(h.node.budgetRefusal(r, errkind.BudgetExhausted), ShouldEqual, errkind.BudgetExhausted)
+	})
+}
--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -160,7 +160,7 @@
 	case a.HandOver != nil:
 		return x.handOver(ctx, a.HandOver)
 	case a.Refuse != nil:
-		x.refuse(Refusal{Kind: a.Refuse.Kind, Ran: a.Refuse.Ran, RetryAfter: a.Refuse.RetryAfter, BudgetCovers: a.Refuse.BudgetCovers})
+		x.refuse(Refusal{Kind: a.Refuse.Kind, Ran: a.Refuse.Ran, RetryAfter: a.Refuse.RetryAfter})
 		return true
 	case a.ReleaseAnswer != nil:
 		return true
--- a/fleet/gateway/protocol.go
+++ b/fleet/gateway/protocol.go
@@ -107,9 +107,6 @@
 	Kind       errkind.Kind
 	Ran        errkind.Ran
 	RetryAfter time.Duration
-	// BudgetCovers is set if the customer's budget covers the request, but its
-	// tokens are held by others at the moment.
-	BudgetCovers bool
 }
 
 // Protocol translates between HTTP messages and the types of this package.
