Hold little of a budget on which nobody draws

Cause: each instance holds up to 20,000 tokens of each budget in advance, also of budgets on which nobody draws; the whole grants of killed processes are charged.

Change: idleSharePerMille bounds what all grants together take in advance of a budget on which the fleet spends less than a token a second; 30 on the users' platform, since a request is owed if it fits into 97 in 100 of the budget. Customers that draw hold what they held.

--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"plantainfield.example/core/config"
@@ -42,6 +43,9 @@
 	// large, so that all losses together take a small part of a budget, however
 	// many they are.
 	lossWeight = 300
+	// idleRate is the spending of the fleet below which nobody draws on a budget, in
+	// tokens per second.
+	idleRate = 1
 	// unknownPartDivisor divides what may still be granted to get the part of an
 	// on-demand holder while the fleet's spending is not known yet.
 	unknownPartDivisor = 2
@@ -115,11 +119,20 @@
 	}
 	size := min(int64(demand*float64(s.Policy.RunwaySeconds)), limit)
 	if !s.OnDemand {
-		size = max(size, min(s.Policy.SizeTokens, equalPart))
+		size = max(size, min(s.Policy.SizeTokens, equalPart, s.idlePart(demand, fleet)))
 	}
 	return size
 }
 
+// idlePart is what this holder may hold in advance of a budget on which nobody
+// draws. While it is drawn on, there is no such limit.
+func (s Sizing) idlePart(demand, fleet float64) int64 {
+	if s.Policy.IdleSharePerMille == 0 || max(demand, fleet) >= idleRate {
+		return math.MaxInt64
+	}
+	return s.Prepaid * s.Policy.IdleSharePerMille / perMille / max(1, s.Instances)
+}
+
 // Spreadable returns the part of a budget that all grants together may take
 // under "spread", in tokens, if unspent tokens of it are left. The rest stays in
 // the ledger for the instances that run after holders have crashed. The more
--- a/core/budget/policy_test.go
+++ b/core/budget/policy_test.go
@@ -148,6 +148,21 @@
 			s.OnDemand = false
 			So(a.WantedSize(time.Millisecond, s), ShouldEqual, 60)
 		})
+		Convey("holds little of a budget on which nobody draws", func() {
+			p.IdleSharePerMille = 40
+			s := Sizing{Policy: p, Prepaid: prepaid, Unspent: prepaid, Instances: 4}
+			So(a.WantedSize(0, s), ShouldEqual, prepaid*40/perMille/4)
+			step(&a, 0)
+			So(a.Reserve(5), ShouldBeTrue)
+			So(a.WantedSize(time.Second, s), ShouldEqual, p.SizeTokens)
+			a.Settle(5, 5)
+			Convey("and little again some time after the last spending", func() {
+				for second := range 120 {
+					a.rates(time.Duration(second) * time.Second)
+				}
+				So(a.WantedSize(120*time.Second, s), ShouldEqual, prepaid*40/perMille/4)
+			})
+		})
 		Convey("takes a smaller share of a budget that will not last fullShareSeconds", func() {
 			p.FullShareSeconds = 60
 			So(a.Spreadable(p, 6000), ShouldEqual, 3600) // the rate of spending is not known yet
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -127,6 +127,10 @@
 	// lasts for less is smaller in proportion: tokens that lost instances held are
 	// missed most where few are left.
 	FullShareSeconds int64 `json:"fullShareSeconds,omitempty" min:"0" max:"86400"`
+	// IdleSharePerMille is the share of a budget on which nobody draws that all
+	// grants together may take in advance under "spread", in per mille; 0 for no
+	// such limit. A loss of instances then takes no more of it.
+	IdleSharePerMille int64 `json:"idleSharePerMille,omitempty" min:"0" max:"1000"`
 	// MaxWaitMillis limits how long a request waits for tokens of its budget, in
 	// milliseconds; 0 for no limit besides those of the individual steps.
 	MaxWaitMillis int64 `json:"maxWaitMillis,omitempty" min:"0" max:"60000"`
--- a/core/node/budget_scenarios_test.go
+++ b/core/node/budget_scenarios_test.go
@@ -71,7 +71,7 @@
 
 func spreadPolicy() config.GrantPolicy {
 	return config.GrantPolicy{
-		Policy: config.GrantSpread, SizeTokens: 20_000, RunwaySeconds: 10, MaxSharePerMille: 400, FullShareSeconds: 60,
+		Policy: config.GrantSpread, SizeTokens: 20_000, RunwaySeconds: 10, MaxSharePerMille: 400, FullShareSeconds: 60, IdleSharePerMille: 30,
 		PeerTransfer: true, RefillMillis: 1500, MaxWaitMillis: 250, CombineUpdates: true,
 	}
 }
--- a/fleet/daemon/hosted_policies.go
+++ b/fleet/daemon/hosted_policies.go
@@ -21,6 +21,9 @@
 	// that share of it: some times the runway, since instances may be lost
 	// several times while it is spent.
 	grantFullShareSeconds = 60
+	// grantIdleSharePerMille is the share of a budget up to which the platform
+	// allows refusals of requests that it covers.
+	grantIdleSharePerMille = 30
 	// grantRefillMillis keeps an instance's ledger updates below one per
 	// second.
 	grantRefillMillis = 1500
@@ -51,6 +54,7 @@
 	p := config.Defaults().Policies
 	p.Grants = config.GrantPolicy{
 		Policy: config.GrantSpread, SizeTokens: grantFloorTokens, RunwaySeconds: grantRunwaySeconds, MaxSharePerMille: grantSharePerMille, FullShareSeconds: grantFullShareSeconds,
+		IdleSharePerMille: grantIdleSharePerMille,
 		PeerTransfer: true, RefillMillis: grantRefillMillis, MaxWaitMillis: grantWaitMillis, CombineUpdates: true,
 	}
 	p.Routing.Policy = config.RoutingLeastWork
