Return the tokens that a killed instance can't have spent

Cause: nobody knows what a killed process had spent, so its whole grants are charged, for good.

Change (design 0015): an instance reports to its two monitors, its witnesses, up to which mark it may expose tokens (spent, reserved or sent to peers), and obeys the marks that were acknowledged, for 3 s after each acknowledgement. Once a later incarnation has answered a witness's own acknowledgement, the earlier one has ended, and the witness states what it can have exposed until its successor started. The ledger's writer closes the grant at that amount. Only where the platform runs one process of an instance at a time (SoleProcess). The ledger's form is unchanged: to the build before, a released grant is a closed one that was granted less.

Why it can't release too much: what a statement bounds includes all that a holder could reserve or send under any report that it may follow, and time is measured by the witness with a clock that counts suspended time, the holder's with one that may stand still.

--- a/core/budget/account.go
+++ b/core/budget/account.go
@@ -56,6 +56,13 @@
 	fleet         steadyRate
 	fleetReported int64
 	fleetSeen     bool
+	// request is the moving average of the size of reservations.
+	request float64
+	// blocked is the sum of what waiting requests lack because headroom does not cover
+	// them.
+	blocked int64
+	// headroom, if set, returns by how much exposed may rise.
+	headroom func(exposed int64) int64
 	// lostShare is the share of the budget's total that closed grants charge
 	// without a report of their holders.
 	lostShare float64
@@ -174,11 +181,12 @@
 // Reserve sets n tokens aside for one attempt. It reports false if the grant
 // does not cover them.
 func (a *Account) Reserve(n int64) bool {
-	if n > a.Available() {
+	if n > a.Available() || n > a.room() {
 		return false
 	}
 	a.reserved += n
 	a.demand.pending += n
+	a.request += requestAlpha * (float64(n) - a.request)
 	return true
 }
 
--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -15,7 +15,9 @@
 	lastSettle time.Duration
 	// nextMeasurement is the earliest time of the next measurement of the rates.
 	nextMeasurement time.Duration
-	shards          []bookShard
+	// headroom limits what accounts expose, or is nil.
+	headroom func(budget string, exposed int64) int64
+	shards   []bookShard
 }
 
 // bookShard is the part of a book whose budgets are stored in one ledger
@@ -40,6 +42,9 @@
 	a := b.accounts[name]
 	if a == nil {
 		a = &Account{}
+		if b.headroom != nil {
+			a.headroom = func(exposed int64) int64 { return b.headroom(name, exposed) }
+		}
 		b.accounts[name] = a
 		at, _ := slices.BinarySearch(shard.names, name)
 		shard.names = slices.Insert(shard.names, at, name)
--- a/core/budget/transfer.go
+++ b/core/budget/transfer.go
@@ -67,7 +67,7 @@
 	if a.ending() {
 		return 0
 	}
-	return max(0, min(a.own(), a.Available()))
+	return max(0, min(a.own(), a.Available(), a.room()))
 }
 
 // Send moves tokens to a holder that knows of a cumulative total of have and
--- a/core/budget/transfer_test.go
+++ b/core/budget/transfer_test.go
@@ -42,3 +42,34 @@
 		})
 	})
 }
+
+func TestReservedAndSentTokensAreExposed(t *testing.T) {
+	// Guards against releasing tokens of a killed instance that were reserved for requests
+	// in flight or on their way to a peer.
+	Convey("An account with a grant of 100 tokens", t, func() {
+		book := NewBook(1)
+		limit := int64(60)
+		book.LimitExposure(func(_ string, exposed int64) int64 { return limit - exposed })
+		a := book.Account("b")
+		b := &ledger.Budget{Prepaid: 100, Target: 100, Grants: map[ledger.Holder]*ledger.Grant{}}
+		b.Apply(ledger.Operation{Holder: self, Sequence: 1, Want: 100})
+		a.sequence = 1
+		a.Reconcile(b, self)
+		So(a.Reserve(50), ShouldBeTrue)
+		So(book.Exposed("b"), ShouldEqual, 50)
+		Convey("exposes what was sent, reserved and spent", func() {
+			So(a.Send("n2/1", 0, 20), ShouldEqual, 10)
+			So(book.Exposed("b"), ShouldEqual, 60)
+			a.Settle(50, 30)
+			So(book.Exposed("b"), ShouldEqual, 40)
+		})
+		Convey("reserves no more than its marks allow, and says what waits for them", func() {
+			So(a.Reserve(11), ShouldBeFalse)
+			So(a.Blocked(11), ShouldBeTrue)
+			So(book.Uses(0)["b"].Waiting, ShouldEqual, 11)
+			So(a.Blocked(51), ShouldBeFalse) // its grant doesn't cover that
+			limit = 61
+			So(a.Reserve(11), ShouldBeTrue)
+		})
+	})
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -16,6 +16,10 @@
 	// Now is the driver's time since an epoch of its choice. It never
 	// decreases.
 	Now time.Duration `json:"now"`
+	// Uptime is the time by a clock that goes on while the machine is suspended, since
+	// the same epoch; 0 if it is that of Now. It is set at least for messages of
+	// Exposure.
+	Uptime time.Duration `json:"uptime,omitempty"`
 	// Seed seeds every random choice of the step.
 	Seed uint64 `json:"seed"`
 	// Event is what happened.
--- a/core/event/peer.go
+++ b/core/event/peer.go
@@ -1,6 +1,7 @@
 package event
 
 import (
+	"plantainfield.example/core/exposure"
 	"plantainfield.example/core/ledger"
 	"plantainfield.example/core/streamorigin"
 )
@@ -40,7 +41,8 @@
 	LedgerRequest   *LedgerRequest   `json:"ledgerRequest,omitempty"`
 	LedgerReply     *LedgerReply     `json:"ledgerReply,omitempty"`
 
-	Origin *streamorigin.Message `json:"origin,omitempty"`
+	Origin   *streamorigin.Message `json:"origin,omitempty"`
+	Exposure *exposure.Message     `json:"exposure,omitempty"`
 }
 
 // LedgerRequest asks the writer of a ledger shard to apply the sender's
--- a/core/ledger/operation.go
+++ b/core/ledger/operation.go
@@ -163,6 +163,30 @@
 	return true
 }
 
+// Unexposed returns the part of a grant that its holder can't have used, given the
+// most that it ever spent and sent to others, in tokens. A nil grant has none.
+func (g *Grant) Unexposed(most int64) int64 {
+	if g == nil {
+		return 0
+	}
+	return max(0, g.Granted-max(most-g.ClaimedTotal(), g.Spent+g.Unclaimed()))
+}
+
+// CloseAt closes the grant of a holder that has ended for certain, and charges only
+// what the holder ever spent and sent to others at the most. It returns the tokens
+// that it was granted beyond that.
+func (b *Budget) CloseAt(h Holder, most int64) int64 {
+	g := b.Grants[h]
+	if g == nil {
+		return 0
+	}
+	g.Closed = true
+	unexposed := g.Unexposed(most)
+	g.Granted -= unexposed
+	b.fitPrepaid()
+	return unexposed
+}
+
 // Compact adds what a closed grant charges to Settled and removes the grant. It
 // reports whether that changed the budget. The holder must be replaced for good:
 // an operation of it that still arrives changes nothing, and tokens that it sent
--- a/core/node/budget_simulation_test.go
+++ b/core/node/budget_simulation_test.go
@@ -231,7 +231,7 @@
 	}
 	in := &simulatedNode{name: old.name, incarnation: old.incarnation + 1, bytesPerSecond: old.bytesPerSecond, lateness: old.lateness, open: map[uint64]*simulatedRequest{}}
 	in.node = New(Settings{
-		Name: in.name, Incarnation: fmt.Sprint(in.incarnation), DataCentre: "dc", LedgerShards: 1, Policies: p, Self: s.entry(in.name),
+		Name: in.name, Incarnation: fmt.Sprint(in.incarnation), DataCentre: "dc", LedgerShards: 1, Policies: p, Self: s.entry(in.name), SoleProcess: true,
 		Disabled: Features{Bills: true, BegunRecords: true, ConfigurationStore: true, TargetReports: true, QuarantineClaims: true},
 	})
 	s.nodes[slices.Index(s.nodes, old)] = in
--- a/core/node/eras.go
+++ b/core/node/eras.go
@@ -174,5 +174,5 @@
 // is due: to close grants of holders that are gone, or because all grants have been
 // repeated.
 func (n *Node) writesForOthers(s *ledgerShard) bool {
-	return closesAny(n.goneGrants(s.shard)) || n.eras.Complete(s.index, s.shard, holders{n})
+	return closesAny(n.goneGrants(s.shard)) || n.releasesDue(s.shard) || n.eras.Complete(s.index, s.shard, holders{n})
 }
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -308,7 +308,7 @@
 func (n *Node) collectShortfalls(s *ledgerShard) {
 	for _, r := range n.requests.inPhase(phaseWaitingForGrant) {
 		a := n.book.Account(r.Budget)
-		if n.ledgers.shardOf(r.Budget) != s || r.askedLedger || a.Open() != nil {
+		if n.ledgers.shardOf(r.Budget) != s || r.askedLedger || a.Open() != nil || n.blocked(r) {
 			continue
 		}
 		r.askedLedger = true
@@ -440,6 +440,7 @@
 	remote := slices.Clone(s.remote)
 	n.applyRemote(next, remote)
 	closed := n.closeGoneGrants(next)
+	released := n.releaseUnexposed(next)
 	n.finishEra(s, next)
 	raw, err := next.Encode()
 	if err != nil {
@@ -460,6 +461,7 @@
 			n.observeUpdateTime(s)
 			n.logLedgerUpdate(s, len(ops), len(remote))
 			n.logClosedGrants(closed)
+			n.logReleased(released)
 			n.reconcileAccounts(s)
 			n.answerRemote(s, remote)
 			n.finishLedgerUpdate(s)
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -331,6 +331,8 @@
 		n.ledgerRequested(p, m.LedgerRequest)
 	case m.LedgerReply != nil:
 		n.ledgerReplied(p, m.LedgerReply)
+	case m.Exposure != nil:
+		n.exposureReceived(p, m.Exposure)
 	case m.Origin != nil:
 		n.originsAnswered(n.origins.Receive(n.now, p.Name, *m.Origin))
 	}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -42,6 +42,9 @@
 	// Policies applies where the platform stores the configuration, since that
 	// configuration contains no policies.
 	Policies config.Policies `json:"policies"`
+	// SoleProcess is set if the platform runs at most one process of an instance at a
+	// time, so that a later incarnation proves that the earlier one has ended.
+	SoleProcess bool `json:"soleProcess,omitempty"`
 }
 
 // Features names features that a platform can make unnecessary.
@@ -71,6 +74,8 @@
 	settings Settings
 	holder   ledger.Holder
 	now      time.Duration
+	// uptime is now by a clock that goes on while the machine is suspended.
+	uptime time.Duration
 	// resumedAt is when this process last resumed after a pause. The silence of
 	// others is measured from then on at the earliest, since nothing was read
 	// during the pause.
@@ -86,7 +91,8 @@
 	members memberState
 	ledgers ledgerState
 	// eras restores ledger shards after the store came back from a copy.
-	eras *ledgerera.Keeper
+	eras     *ledgerera.Keeper
+	exposure exposureState
 	// transfers holds the token requests to peers that are in progress.
 	transfers transferState
 	bills     billState
@@ -134,6 +140,7 @@
 	n.ledgers = newLedgerState(s.LedgerShards)
 	n.transfers = newTransferState()
 	n.members.self = s.Self
+	n.limitExposure()
 	n.quarantine.loaded = s.Disabled.QuarantineClaims
 	for i := range bill.Shards {
 		n.bills.logs = append(n.bills.logs, &billLog{log: bill.NewLog(i)})
@@ -148,10 +155,14 @@
 
 // Step processes one input and returns the resulting actions.
 func (n *Node) Step(in event.Input) []event.Action {
+	if n.uptime == 0 {
+		n.exposure.own.Started = in.Now
+	}
 	if in.Now-n.now >= pauseThreshold {
 		n.resumedAt = in.Now
 	}
 	n.now = max(n.now, in.Now)
+	n.uptime = max(n.uptime, in.Uptime, in.Now)
 	n.rng = rand.New(rand.NewPCG(in.Seed, uint64(in.Now)))
 	n.actions = nil
 	n.handle(in.Event)
@@ -222,6 +233,7 @@
 	n.tickBegun()
 	n.tickBills()
 	n.tickQuarantine()
+	n.tickExposure()
 	n.tickLedgers()
 	n.tickTransfers()
 	n.tickShutdown()
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -228,6 +228,10 @@
 	r.phase = phaseWaitingForGrant
 	r.budgetWait = budgetWait{since: n.now}
 	s := n.ledgers.shardOf(r.Budget)
+	if n.blocked(r) {
+		n.reportExposure(true)
+		return
+	}
 	if n.exceedsBudget(s, r) {
 		r.refusal = errkind.BudgetExhausted
 		n.logTokensUnavailable(r, nil)
--- a/core/node/storereturn_test.go
+++ b/core/node/storereturn_test.go
@@ -49,7 +49,9 @@
 
 // returningWorld returns a ready world whose platform has eras.
 func returningWorld(n int, prepaid int64, combine bool) *world {
-	w := readyWorldWith(n, prepaid, func(p *config.GrantPolicy) {
+	w := newWorld(1)
+	w.soleProcess = true
+	w.ready(n, prepaid, func(p *config.GrantPolicy) {
 		p.Policy, p.PeerTransfer, p.CombineUpdates = config.GrantSpread, true, combine
 		p.RefillMillis, p.RunwaySeconds, p.SizeTokens, p.MaxSharePerMille = 300, 5, 100, 400
 	})
--- a/core/node/tokens_property_test.go
+++ b/core/node/tokens_property_test.go
@@ -23,11 +23,17 @@
 }
 
 func newTokenRun(rt *rapid.T) *tokenRun {
+	return newTokenRunOf(rt, rapid.Bool().Draw(rt, "sole process"))
+}
+
+func newTokenRunOf(rt *rapid.T, soleProcess bool) *tokenRun {
 	r := &tokenRun{maxTotal: 600}
 	policy := rapid.SampledFrom([]string{config.GrantStatic, config.GrantFixed, config.GrantAdaptive, config.GrantSpread}).Draw(rt, "policy")
 	transfer, combine := rapid.Bool().Draw(rt, "transfer"), rapid.Bool().Draw(rt, "combine")
 	set := func(p *config.GrantPolicy) { p.Policy, p.PeerTransfer, p.CombineUpdates = policy, transfer, combine }
-	r.world = readyWorldWith(3, r.maxTotal, set)
+	r.world = newWorld(1)
+	r.soleProcess = soleProcess
+	r.ready(3, r.maxTotal, set)
 	r.document = budgetDocument(r.maxTotal)
 	set(&r.document.Policies.Grants)
 	return r
--- a/core/node/transfers.go
+++ b/core/node/transfers.go
@@ -56,6 +56,10 @@
 // askPeers makes a request for which the ledger has no tokens wait for peers.
 // It is refused with kind if they have none either.
 func (n *Node) askPeers(r *request, kind errkind.Kind) {
+	if n.blocked(r) { // it has the tokens, and waits for marks to be raised
+		n.reportExposure(true)
+		return
+	}
 	if r.refusal != errkind.None {
 		if kind == errkind.BudgetExhausted { // the ledger has been read in the meantime
 			r.refusal = kind
@@ -182,6 +186,9 @@
 	if !gives {
 		want = 0
 	}
+	if a.SendBlocked(want) {
+		n.reportExposure(true)
+	}
 	reply := &event.Transfer{Budget: m.Budget, To: string(p.holder()), Total: a.Send(p.holder(), m.Have, want)}
 	if gives {
 		reply.Transferable = a.Transferable()
--- a/core/node/transfers_test.go
+++ b/core/node/transfers_test.go
@@ -83,7 +83,11 @@
 
 // readyWorldWith is readyWorld with a changed grant policy.
 func readyWorldWith(n int, prepaid int64, policy func(*config.GrantPolicy)) *world {
-	w := newWorld(1)
+	return newWorld(1).ready(n, prepaid, policy)
+}
+
+// ready starts instances and targets and puts a configuration in force.
+func (w *world) ready(n int, prepaid int64, policy func(*config.GrantPolicy)) *world {
 	for i := range n {
 		w.startNode(fmt.Sprintf("n%d", i+1))
 	}
--- a/core/node/world_test.go
+++ b/core/node/world_test.go
@@ -33,6 +33,8 @@
 	targets map[string]*fakeTarget
 	answers map[caller]answer
 	callers []caller
+	// soleProcess is Settings.SoleProcess of the instances.
+	soleProcess bool
 	// platformDown fails all platform calls; cutPlatform fails those of some
 	// instances.
 	platformDown bool
@@ -86,6 +88,9 @@
 	incarnation int
 	node        *Node
 	paused      bool
+	// suspendedFor is for how long the machine was suspended, which the clock of Now
+	// doesn't count.
+	suspendedFor time.Duration
 	// stopped is set by ShutdownDone.
 	stopped bool
 	applies map[uint64]event.AnswerApply
@@ -157,7 +162,7 @@
 	}
 	in := &instance{
 		name: name, incarnation: incarnation, applies: map[uint64]event.AnswerApply{},
-		node: New(Settings{Name: name, Incarnation: fmt.Sprint(incarnation), DataCentre: "dc", LedgerShards: 2}),
+		node: New(Settings{Name: name, Incarnation: fmt.Sprint(incarnation), DataCentre: "dc", LedgerShards: 2, SoleProcess: w.soleProcess}),
 	}
 	w.nodes[name] = in
 	return in
@@ -193,7 +198,7 @@
 		return
 	}
 	w.seed++
-	for _, a := range in.node.Step(event.Input{Now: w.now, Seed: w.seed, Event: e}) {
+	for _, a := range in.node.Step(event.Input{Now: w.now - in.suspendedFor, Uptime: w.now, Seed: w.seed, Event: e}) {
 		w.execute(in, a)
 	}
 	w.recordHolders(in)
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -97,7 +97,7 @@
 	loop := runtime.NewLoop(node.Settings{
 		Name: id.name, Incarnation: id.incarnation, DataCentre: adapter.Self.DataCentre, LedgerShards: adapter.Settings.LedgerShards, Self: adapter.Self,
 		Disabled: node.Features{Bills: true, BegunRecords: true, ConfigurationStore: true, TargetReports: true, QuarantineClaims: true},
-		Policies: hostedPolicies(adapter),
+		Policies: hostedPolicies(adapter), SoleProcess: true,
 	})
 	loop.SetTickPeriod(hostedTickPeriod)
 	loop.SetLogHandler(func(entry event.LogEntry) {
--- a/fleet/daemon/hosted_policies.go
+++ b/fleet/daemon/hosted_policies.go
@@ -55,7 +55,7 @@
 	p.Grants = config.GrantPolicy{
 		Policy: config.GrantSpread, SizeTokens: grantFloorTokens, RunwaySeconds: grantRunwaySeconds, MaxSharePerMille: grantSharePerMille, FullShareSeconds: grantFullShareSeconds,
 		IdleSharePerMille: grantIdleSharePerMille,
-		PeerTransfer: true, RefillMillis: grantRefillMillis, MaxWaitMillis: grantWaitMillis, CombineUpdates: true,
+		PeerTransfer:      true, RefillMillis: grantRefillMillis, MaxWaitMillis: grantWaitMillis, CombineUpdates: true,
 	}
 	p.Routing.Policy = config.RoutingLeastWork
 	p.Retries = adapter.Retries
--- a/fleet/runtime/loop.go
+++ b/fleet/runtime/loop.go
@@ -68,8 +68,10 @@
 	waits    Lateness
 	// began is when the Loop was made, and progress the time from then until it last
 	// began to process something.
-	began    time.Time
-	progress atomic.Int64
+	began time.Time
+	// uptimeStart is the uptime when Run began.
+	uptimeStart time.Duration
+	progress    atomic.Int64
 	// onWait receives how long each event or tick has waited. It must not block.
 	onWait func(wait time.Duration)
 	// sendDatagram sends a message that may be lost. It must not block.
@@ -239,6 +241,7 @@
 	ticker := time.NewTicker(l.tickPeriod)
 	defer ticker.Stop()
 	start := time.Now()
+	l.uptimeStart = uptime()
 	l.progress.Store(int64(start.Sub(l.began)))
 	for {
 		var e event.Event
@@ -283,7 +286,7 @@
 func (l *Loop) step(now time.Duration, e event.Event) {
 	queue := []event.Event{e}
 	for len(queue) > 0 {
-		in := event.Input{Now: now, Seed: rand.Uint64(), Event: queue[0]}
+		in := event.Input{Now: now, Uptime: l.uptimeOf(queue[0]), Seed: rand.Uint64(), Event: queue[0]}
 		queue = queue[1:]
 		l.counters.Steps.Add(1)
 		for _, a := range l.node.Step(in) {
