Keep the ledger object below the platform's largest size

Cause: each instance adds a grant in each budget in advance, beside those of the killed incarnations, until the object outgrows max_value_bytes. Every later write is refused, those that would remove old grants too, and the refusal was taken for a lost answer and repeated.

Change, in a package of its own (core/ledgersize): the writer counts the grants that an update would add. Above half of the limit none is added in advance (Operation.Advance), up to the limit, less a margin, only for requests that wait; the others stay open at their holders. An object that would be too large loses the closed grants of replaced incarnations at once, not after 10 s. If that isn't enough it is not sent, with a log line; a refusal by the store (PlatformTooLarge) is a failed update with its backoff. A request now raises an open operation that only takes tokens in advance, and so doesn't wait behind one that there is no room for (raiseWant).

--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -165,16 +165,38 @@
 	return wanted * lowWaterPerMille / perMille
 }
 
+// Advancing reports whether the open operation only takes tokens in advance, so that
+// it may be changed to one for waiting requests.
+func (a *Account) Advancing() bool { return a.open != nil && a.open.Advance }
+
+// raiseWant lets an open operation that takes tokens in advance, and that may not be
+// applied for lack of room in the ledger, ask for those that requests wait for. Which of
+// the two takes effect shows only in what is granted.
+func (a *Account) raiseWant(now time.Duration, s Sizing) {
+	if !a.Advancing() || a.shortfall == 0 {
+		return
+	}
+	op := *a.open
+	op.Want, op.Minimum = a.requestAmounts(a.WantedSize(now, s), s)
+	a.ClearShortfall()
+	if op.Want > 0 {
+		op.Advance = false
+		a.open = &op
+	}
+}
+
 // Prepare returns the operation that is due, or nil. The operation stays open
 // until Reconcile finds that it took effect.
 func (a *Account) Prepare(now time.Duration, holder ledger.Holder, s Sizing, settleDue bool) *ledger.Operation {
 	if a.open != nil || a.final {
+		a.raiseWant(now, s)
 		return a.open
 	}
 	wanted := a.WantedSize(now, s)
 	available := a.Available()
 	op := ledger.Operation{Holder: holder}
-	if a.shortfall > 0 {
+	waits := a.shortfall > 0
+	if waits {
 		op.Want, op.Minimum = a.requestAmounts(wanted, s)
 		a.ClearShortfall()
 	}
@@ -194,6 +216,7 @@
 	if op.Return > 0 {
 		a.lastReturn = now
 	}
+	op.Advance = !waits && op.Want > 0
 	return a.begin(op)
 }
 
--- a/core/budget/policy_test.go
+++ b/core/budget/policy_test.go
@@ -231,3 +231,30 @@
 		}
 	})
 }
+
+func TestRequestsRaiseAnOperationThatTakesTokensInAdvance(t *testing.T) {
+	// Guards against requests that wait behind an operation that the ledger has no room for.
+	Convey("Given an operation in advance that was not applied", t, func() {
+		p := config.GrantPolicy{Policy: config.GrantSpread, SizeTokens: 100, RunwaySeconds: 10, MaxSharePerMille: 600}
+		var a Account
+		s := Sizing{Policy: p, Prepaid: prepaid, LedgerAvailable: prepaid, Unspent: prepaid, Instances: 4, Background: true}
+		first := a.Prepare(0, self, s, false)
+		So(first.Advance, ShouldBeTrue)
+		So(a.Prepare(0, self, s, false), ShouldEqual, first)
+		a.AddShortfall(500)
+		raised := a.Prepare(0, self, s, false)
+		So(raised.Want, ShouldBeGreaterThanOrEqualTo, 500)
+		So(raised.Advance, ShouldBeFalse)
+		So(raised.Sequence, ShouldEqual, first.Sequence)
+		Convey("either may take effect, and the grant is what the ledger says", func() {
+			for _, op := range []*ledger.Operation{first, raised} {
+				b := &ledger.Budget{Prepaid: prepaid, Target: prepaid, Grants: map[ledger.Holder]*ledger.Grant{}}
+				account := a
+				b.Apply(*op)
+				b.Apply(*raised)
+				So(account.Reconcile(b, self), ShouldBeTrue)
+				So(account.Available(), ShouldEqual, op.Want)
+			}
+		})
+	})
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -261,6 +261,9 @@
 	PlatformConflict PlatformStatus = "conflict"
 	// PlatformNotFound means that the object does not exist.
 	PlatformNotFound PlatformStatus = "not_found"
+	// PlatformTooLarge means that the object is larger than the platform stores; the
+	// call had no effect.
+	PlatformTooLarge PlatformStatus = "too_large"
 	// PlatformUnavailable means that the call certainly had no effect.
 	PlatformUnavailable PlatformStatus = "unavailable"
 	// PlatformUnknown means that a write may have taken effect.
--- a/core/ledger/operation.go
+++ b/core/ledger/operation.go
@@ -17,6 +17,8 @@
 	// useful, both in tokens.
 	Want    int64 `json:"want,omitempty"`
 	Minimum int64 `json:"minimum,omitempty"`
+	// Advance is set if no request waits for what it wants.
+	Advance bool `json:"advance,omitempty"`
 	// Received reports cumulative transfers from other holders. It contains
 	// each holder that a transfer was requested from, with 0 if none arrived.
 	Received map[Holder]int64 `json:"received,omitempty"`
--- a/core/node/budget_simulation_test.go
+++ b/core/node/budget_simulation_test.go
@@ -33,6 +33,8 @@
 	// processors is an instance's share of a processor, in thousandths; nil if
 	// instances don't state it. Only then they tell each other their load.
 	processors func(instance int) int64
+	// maxObjectBytes is the largest object that the platform stores, or 0 for any.
+	maxObjectBytes int
 	// lateness is how late an instance processes what arrives, because its
 	// processor is busy; nil if none is late.
 	lateness func(instance int) time.Duration
@@ -94,6 +96,9 @@
 	nodes     []*simulatedNode
 	// cut holds the instances that can reach neither the platform nor peers.
 	cut map[string]bool
+	// maxObjectBytes is the largest ledger object that the platform stores, or 0; refused
+	// counts the larger ones.
+	maxObjectBytes, refused int
 	// platformDown cuts all instances off from the platform, but not from peers.
 	platformDown bool
 	generation   uint64
@@ -171,7 +176,8 @@
 	s := &budgetSimulation{
 		rng: rand.New(rand.NewPCG(seed, 1)), policy: grants, fleet: fleet, cut: map[string]bool{},
 		totals: map[string]int64{}, maxTotals: map[string]int64{}, loadFactor: map[string]float64{},
-		recent: map[string][]*simulatedRequest{}, settled: map[string]int64{},
+		maxObjectBytes: fleet.maxObjectBytes,
+		recent:         map[string][]*simulatedRequest{}, settled: map[string]int64{},
 		targets: []event.Instance{targetEntry("t1"), targetEntry("t2")}, objects: map[event.ObjectKind]map[string]event.Object{},
 	}
 	for c := range fleet.customers {
@@ -231,7 +237,7 @@
 	}
 	in := &simulatedNode{name: old.name, incarnation: old.incarnation + 1, bytesPerSecond: old.bytesPerSecond, lateness: old.lateness, open: map[uint64]*simulatedRequest{}}
 	in.node = New(Settings{
-		Name: in.name, Incarnation: fmt.Sprint(in.incarnation), DataCentre: "dc", LedgerShards: 1, Policies: p, Self: s.entry(in.name), SoleProcess: true,
+		Name: in.name, Incarnation: fmt.Sprint(in.incarnation), DataCentre: "dc", LedgerShards: 1, Policies: p, Self: s.entry(in.name), SoleProcess: true, MaxObjectBytes: s.maxObjectBytes,
 		Disabled: Features{Bills: true, BegunRecords: true, ConfigurationStore: true, TargetReports: true, QuarantineClaims: true},
 	})
 	s.nodes[slices.Index(s.nodes, old)] = in
@@ -434,6 +440,10 @@
 		if s.version == 0 {
 			r.Status = event.PlatformNotFound
 		}
+	case s.maxObjectBytes > 0 && len(call.Object.Value) > s.maxObjectBytes:
+		s.refused++
+		r.Status = event.PlatformTooLarge
+		return r
 	case call.Object.Version != s.store.Version:
 		s.writes++
 		s.conflicts++
--- a/core/node/eras.go
+++ b/core/node/eras.go
@@ -7,6 +7,7 @@
 
 	"plantainfield.example/core/ledger"
 	"plantainfield.example/core/ledgerera"
+	"plantainfield.example/core/ledgersize"
 )
 
 // maxReturnDelay bounds the random delay after which an instance uses the ledger
@@ -161,12 +162,16 @@
 }
 
 // applyOperation applies an operation to a budget of the next version of a shard,
-// unless it must wait until its holder has repeated its grants.
-func (n *Node) applyOperation(next *ledger.Shard, name string, op ledger.Operation) {
+// unless it must wait until its holder has repeated its grants, or the object would get
+// too large.
+func (n *Node) applyOperation(size *ledgersize.Update, next *ledger.Shard, name string, op ledger.Operation) {
 	if name == ledgerera.StateBudget {
 		ledgerera.Register(next, op)
-	} else if op, admitted := ledgerera.Admit(next, op); admitted {
-		n.budgetInForce(next, name).Apply(op)
+		return
+	}
+	op, admitted := ledgerera.Admit(next, op)
+	if b := n.budgetInForce(next, name); admitted && size.Admit(b, op) {
+		b.Apply(op)
 	}
 }
 
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -13,6 +13,7 @@
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/ledger"
 	"plantainfield.example/core/ledgerera"
+	"plantainfield.example/core/ledgersize"
 )
 
 // ledgerShard is this instance's view of one ledger object and the state of the
@@ -308,7 +309,7 @@
 func (n *Node) collectShortfalls(s *ledgerShard) {
 	for _, r := range n.requests.inPhase(phaseWaitingForGrant) {
 		a := n.book.Account(r.Budget)
-		if n.ledgers.shardOf(r.Budget) != s || r.askedLedger || a.Open() != nil || n.blocked(r) {
+		if n.ledgers.shardOf(r.Budget) != s || r.askedLedger || a.Open() != nil && !a.Advancing() || n.blocked(r) {
 			continue
 		}
 		r.askedLedger = true
@@ -434,16 +435,17 @@
 func (n *Node) updateLedger(s *ledgerShard, ops map[string]*ledger.Operation) {
 	next := s.shard.Clone()
 	n.beginEra(s, next)
+	size := ledgersize.NewUpdate(s.bytes, n.settings.MaxObjectBytes)
 	for _, name := range sortedKeys(ops) {
-		n.applyOperation(next, name, *ops[name])
+		n.applyOperation(size, next, name, *ops[name])
 	}
 	remote := slices.Clone(s.remote)
-	n.applyRemote(next, remote)
+	n.applyRemote(size, next, remote)
 	closed := n.closeGoneGrants(next)
 	released := n.releaseUnexposed(next)
 	n.finishEra(s, next)
-	raw, err := next.Encode()
-	if err != nil {
+	raw, err := n.encodeLedger(s, next)
+	if err != nil || ledgersize.Exceeds(raw, n.settings.MaxObjectBytes) {
 		n.failLedgerUpdate(s)
 		return
 	}
@@ -459,13 +461,13 @@
 			s.version, s.shard, s.bytes, s.seenAt = r.Object.Version, next, len(raw), n.now
 			n.eras.Seen(s.index, next)
 			n.observeUpdateTime(s)
-			n.logLedgerUpdate(s, len(ops), len(remote))
+			n.logLedgerUpdate(s, len(ops), len(remote), size.Skipped())
 			n.logClosedGrants(closed)
 			n.logReleased(released)
 			n.reconcileAccounts(s)
 			n.answerRemote(s, remote)
 			n.finishLedgerUpdate(s)
-		case event.PlatformUnavailable:
+		case event.PlatformUnavailable, event.PlatformTooLarge:
 			n.failLedgerUpdate(s)
 		case event.PlatformConflict:
 			n.ledgerConflict(s, r.Object)
@@ -476,6 +478,23 @@
 	})
 }
 
+// encodeLedger serializes the next version of a shard. If that is too large, it first
+// removes the closed grants of replaced holders.
+func (n *Node) encodeLedger(s *ledgerShard, next *ledger.Shard) ([]byte, error) {
+	raw, err := next.Encode()
+	if err != nil || !ledgersize.Exceeds(raw, n.settings.MaxObjectBytes) {
+		return raw, err
+	}
+	removed := ledgersize.CompactReplaced(next, func(h ledger.Holder) bool {
+		wait, gone := n.presumedGone(h)
+		return gone && wait == replacedAfter
+	})
+	before := len(raw)
+	raw, err = next.Encode()
+	n.logChange("ledger object too large", "shard", s.name, "bytes", before, "limit", n.settings.MaxObjectBytes, "grants_removed", removed, "bytes_after", len(raw))
+	return raw, err
+}
+
 // budgetInForce returns a budget of the next version of a shard, with the total
 // of the configuration in force.
 func (n *Node) budgetInForce(next *ledger.Shard, name string) *ledger.Budget {
@@ -550,7 +569,7 @@
 
 // logLedgerUpdate logs the state of a shard after an update, summed over its
 // budgets.
-func (n *Node) logLedgerUpdate(s *ledgerShard, operations, remote int) {
+func (n *Node) logLedgerUpdate(s *ledgerShard, operations, remote, skipped int) {
 	var prepaid, settled, unreported, outstanding int64
 	grants := 0
 	for _, name := range sortedKeys(s.shard.Budgets) {
@@ -565,7 +584,7 @@
 		grants += len(b.Grants)
 	}
 	own := n.ownTokens(s)
-	n.logChange("ledger updated", "version", s.version, "operations", operations, "for_peers", remote, "conflicts", s.conflicts+s.objectConflicts, "took", n.now-s.startedAt,
+	n.logChange("ledger updated", "version", s.version, "operations", operations, "for_peers", remote, "skipped", skipped, "conflicts", s.conflicts+s.objectConflicts, "took", n.now-s.startedAt,
 		"bytes", s.bytes, "grants", grants, "prepaid", prepaid, "settled", settled, "unreported", unreported, "outstanding", outstanding, "own_unspent", own.unspent, "own_reserved", own.reserved, "own_unreported", own.unreported)
 	n.logBudgets(s)
 }
--- a/core/node/ledgerwriter.go
+++ b/core/node/ledgerwriter.go
@@ -11,6 +11,7 @@
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/ledger"
+	"plantainfield.example/core/ledgersize"
 )
 
 const (
@@ -334,11 +335,11 @@
 }
 
 // applyRemote applies the operations of peers to the next version of a shard.
-func (n *Node) applyRemote(next *ledger.Shard, remote []*remoteUpdate) {
+func (n *Node) applyRemote(size *ledgersize.Update, next *ledger.Shard, remote []*remoteUpdate) {
 	for _, u := range remote {
 		for _, name := range sortedKeys(u.Operations) {
 			b := n.budgetInForce(next, name)
-			n.applyOperation(next, name, n.limited(name, b, *u.Operations[name], u.Urgent))
+			n.applyOperation(size, next, name, n.limited(name, b, *u.Operations[name], u.Urgent))
 		}
 	}
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -34,6 +34,9 @@
 	// LedgerShards is the number of ledger objects; it is the same on all
 	// instances and never changes for a deployment.
 	LedgerShards int `json:"ledgerShards"`
+	// MaxObjectBytes is the largest size of an object that the platform stores, or 0
+	// if it is not known.
+	MaxObjectBytes int `json:"maxObjectBytes,omitempty"`
 	// Self is this instance's own entry in the instance list, if it is known
 	// before the list is read.
 	Self event.Instance `json:"self"`
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -40,6 +40,9 @@
 	DirectoryAddress, ReadyAddress, MetricsAddress string
 	// MemoryBytes is the maximum memory of the process.
 	MemoryBytes int64
+	// MaxObjectBytes is the largest size of an object that the platform stores, or 0
+	// if it is not known.
+	MaxObjectBytes int
 	// GracePeriod is the time from the stop signal until the process must have
 	// exited.
 	GracePeriod time.Duration
@@ -97,7 +100,7 @@
 	loop := runtime.NewLoop(node.Settings{
 		Name: id.name, Incarnation: id.incarnation, DataCentre: adapter.Self.DataCentre, LedgerShards: adapter.Settings.LedgerShards, Self: adapter.Self,
 		Disabled: node.Features{Bills: true, BegunRecords: true, ConfigurationStore: true, TargetReports: true, QuarantineClaims: true},
-		Policies: hostedPolicies(adapter), SoleProcess: true,
+		Policies: hostedPolicies(adapter), SoleProcess: true, MaxObjectBytes: adapter.MaxObjectBytes,
 	})
 	loop.SetTickPeriod(hostedTickPeriod)
 	loop.SetLogHandler(func(entry event.LogEntry) {
