Close idle connections on which a target goes on sending

What operators would see: a target that sends bytes that belong to no request keeps connections open that are idle, each with a full receive buffer (the users: 30 of 30, 168 kB each); these count as memory of the process.

Cause: an idle connection was looked at only when it was to be used again. The same kept connections that were past their target's timeout.

Change: each 2 s a worker closes the idle connections that can't be used again, to targets and to peers.

Not done: the sum of all buffers of a process has no bound.

--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -164,6 +164,8 @@
 			load := loadLog{loop: p.Loop, server: p.Gateway, targets: p.Targets, peers: p.Sender, log: p.Log.Named(logring.InstanceLogger)}
 			workers.Go(func() { load.run(ctx) })
 			workers.Go(func() { p.Datagrams.Run(ctx) })
+			workers.Go(func() { p.Targets.Run(ctx) })
+			workers.Go(func() { p.Gateway.RunPeerConnections(ctx) })
 			for range probeWorkers {
 				workers.Go(func() { p.Gateway.RunProbes(ctx) })
 			}
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -60,6 +60,10 @@
 	return s
 }
 
+// RunPeerConnections closes idle connections to peers that can't be used again, until
+// ctx ends.
+func (s *Server) RunPeerConnections(ctx context.Context) { s.peers.Run(ctx) }
+
 // ActiveRequests returns the number of requests in progress.
 func (s *Server) ActiveRequests() int64 { return s.activeRequests.Load() }
 
