Keep a missing target for relistGrace from when it was first missing

Cause: each such list began the 2 s anew for all missing targets.

Change: the time is kept for each target, from when it was first missing.

Test: TestUnlistedTargetIsKeptAfterReconnection, "also if lists follow each other", failed before (line 188: a request was dispatched).

--- a/core/node/hosted_test.go
+++ b/core/node/hosted_test.go
@@ -176,6 +176,29 @@
 		h.advance(relistGrace)
 		So(dispatched(h.arrive(2, 0)), ShouldBeNil)
 	})
+	Convey("also if lists follow each other within that time", t, func() {
+		// Guards against a target that stays in use for good although it was removed.
+		h := newHosted()
+		h.list(false, targetEntry("t1"))
+		h.advance(5 * time.Second)
+		for range 4 {
+			h.list(true)
+			h.advance(relistGrace / 3)
+		}
+		So(dispatched(h.arrive(1, 0)), ShouldBeNil)
+	})
+	Convey("and once it was listed again, it is kept anew", t, func() {
+		h := newHosted()
+		h.list(false, targetEntry("t1"))
+		h.advance(5 * time.Second)
+		for range 4 {
+			h.list(true)
+			h.advance(relistGrace / 3)
+			h.list(true, targetEntry("t1"))
+			h.advance(relistGrace / 3)
+		}
+		So(dispatched(h.arrive(1, 0)), ShouldNotBeNil)
+	})
 	Convey("otherwise a target that is not listed gets no work from then on", t, func() {
 		h := newHosted()
 		h.list(false, targetEntry("t1"))
--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -53,8 +53,11 @@
 // targetUnlisted handles the absence of a target from the instance list. The
 // target is kept for a while, because an older list may still arrive.
 func (n *Node) targetUnlisted(t *target) {
-	if n.members.platformReconnectedAt > 0 && n.now-n.members.platformReconnectedAt < relistGrace {
-		t.Missing = true
+	relisting := n.members.platformReconnectedAt > 0 && n.now-n.members.platformReconnectedAt < relistGrace
+	if relisting && !t.Missing && !t.Delisted {
+		t.Missing, t.MissingSince = true, n.now
+	}
+	if relisting && t.Missing && n.now-t.MissingSince < relistGrace {
 		return
 	}
 	t.Missing = false
@@ -78,15 +81,17 @@
 // tickMissingTargets treats targets that were not listed again in time as
 // unlisted.
 func (n *Node) tickMissingTargets() {
-	if n.members.platformReconnectedAt == 0 || n.now-n.members.platformReconnectedAt < relistGrace {
+	if n.members.platformReconnectedAt == 0 {
 		return
 	}
-	n.members.platformReconnectedAt = 0
 	for _, name := range n.members.targetNames() {
-		if t := n.members.targets[name]; t.Missing {
+		if t := n.members.targets[name]; t.Missing && n.now-t.MissingSince >= relistGrace {
 			n.targetUnlisted(t)
 		}
 	}
+	if n.now-n.members.platformReconnectedAt >= relistGrace {
+		n.members.platformReconnectedAt = 0
+	}
 }
 
 // tombstoneTimeout is how long a target is kept after it disappeared from the
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -98,8 +98,7 @@
 	// lastAddressCount is the number of addresses in the last answer to a caller.
 	lastAddressCount int
 	// platformReconnectedAt is when the last list with Reconnected arrived. It is
-	// reset to 0 after relistGrace, when the targets that are still missing
-	// are handled as unlisted.
+	// reset to 0 after relistGrace.
 	platformReconnectedAt time.Duration
 	// seekOffset selects the peers that an instance that seeks peers contacts
 	// next.
