Pause operations in advance that the ledger object has no room for

Change: an instance that finds such operations still open after an update doesn't repeat them for 5 s (nextAdvance). An account that has tokens from a peer which the ledger doesn't record yet needs its operation, which then isn't one in advance any more (raiseWant).

--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -171,18 +171,19 @@
 
 // raiseWant lets an open operation that takes tokens in advance, and that may not be
 // applied for lack of room in the ledger, ask for those that requests wait for. Which of
-// the two takes effect shows only in what is granted.
+// the two takes effect shows only in what is granted. Tokens from other holders that the
+// ledger doesn't record yet need the operation as well.
 func (a *Account) raiseWant(now time.Duration, s Sizing) {
-	if !a.Advancing() || a.shortfall == 0 {
+	if !a.Advancing() || a.shortfall == 0 && a.transfers.unrecorded() == 0 {
 		return
 	}
 	op := *a.open
-	op.Want, op.Minimum = a.requestAmounts(a.WantedSize(now, s), s)
-	a.ClearShortfall()
-	if op.Want > 0 {
-		op.Advance = false
-		a.open = &op
+	if a.shortfall > 0 {
+		op.Want, op.Minimum = a.requestAmounts(a.WantedSize(now, s), s)
+		a.ClearShortfall()
 	}
+	op.Advance = op.Want == 0 && a.transfers.unrecorded() == 0
+	a.open = &op
 }
 
 // Prepare returns the operation that is due, or nil. The operation stays open
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -55,6 +55,9 @@
 	// nextShortRefill is the same for an update before a grant is used up.
 	nextShortRefill time.Duration
 	nextUpdate      time.Duration
+	// nextAdvance is the earliest time of the next operations that take tokens in
+	// advance. It is delayed after some for which the object had no room.
+	nextAdvance time.Duration
 	// nextRegistration is the earliest time of the next registration of this
 	// instance in the shard.
 	nextRegistration time.Duration
@@ -295,7 +298,7 @@
 		} else {
 			op = n.book.Lookup(name).Prepare(n.now, n.holder, n.sizing(s, name), s.settle)
 		}
-		if op != nil {
+		if op != nil && !(op.Advance && n.now < s.nextAdvance) {
 			ops[name] = op
 		}
 	}
@@ -638,6 +641,7 @@
 		s.nextUpdate = n.now + n.randomBelow(min(time.Duration(s.objectConflicts)*contentionDelay, contentionDelayMax))
 	}
 	s.inFlight, s.failures, s.conflicts, s.objectConflicts = false, 0, 0, 0
+	n.delayAdvance(s)
 	notAsked := false
 	for _, r := range n.waitingFor(s) {
 		switch {
@@ -653,6 +657,21 @@
 	}
 }
 
+// advancePause is how long an instance doesn't repeat operations that take tokens in
+// advance after an update left some of them out.
+const advancePause = 5 * time.Second
+
+// delayAdvance delays operations that take tokens in advance if the update that has
+// ended left some out: the object has no room for them.
+func (n *Node) delayAdvance(s *ledgerShard) {
+	if n.now < s.nextAdvance {
+		return
+	}
+	if slices.ContainsFunc(n.book.BudgetsInShard(s.index), func(name string) bool { return n.book.Lookup(name).Advancing() }) {
+		s.nextAdvance = n.now + advancePause
+	}
+}
+
 // waitingFor returns the requests that wait for tokens of a shard's budgets.
 func (n *Node) waitingFor(s *ledgerShard) []*request {
 	var out []*request
