Delay operations in advance only after an update that left them out

What would be seen: after an outage an instance could hold no tokens in advance for 5 s.

Cause: operations of an update that had failed are open too, and the next update, which only reads, took them for left out.

Change: only an update that contained some delays them.

Test: TestOperationsInAdvanceAreRepeatedAfterAnUpdateThatFailed, failed before.

--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -56,8 +56,10 @@
 	nextShortRefill time.Duration
 	nextUpdate      time.Duration
 	// nextAdvance is the earliest time of the next operations that take tokens in
-	// advance. It is delayed after some for which the object had no room.
+	// advance. It is delayed after some for which the object had no room. advances is
+	// set if the update in flight contains some.
 	nextAdvance time.Duration
+	advances    bool
 	// nextRegistration is the earliest time of the next registration of this
 	// instance in the shard.
 	nextRegistration time.Duration
@@ -300,6 +302,7 @@
 		}
 		if op != nil && !(op.Advance && n.now < s.nextAdvance) {
 			ops[name] = op
+			s.advances = s.advances || op.Advance
 		}
 	}
 	s.settle = false
@@ -664,10 +667,9 @@
 // delayAdvance delays operations that take tokens in advance if the update that has
 // ended left some out: the object has no room for them.
 func (n *Node) delayAdvance(s *ledgerShard) {
-	if n.now < s.nextAdvance {
-		return
-	}
-	if slices.ContainsFunc(n.book.BudgetsInShard(s.index), func(name string) bool { return n.book.Lookup(name).Advancing() }) {
+	contained := s.advances
+	s.advances = false
+	if contained && slices.ContainsFunc(n.book.BudgetsInShard(s.index), func(name string) bool { return n.book.Lookup(name).Advancing() }) {
 		s.nextAdvance = n.now + advancePause
 	}
 }
@@ -687,7 +689,7 @@
 // answer; its operations stay open and are repeated after a backoff.
 func (n *Node) failLedgerUpdate(s *ledgerShard) {
 	n.logChange("ledger update failed", "shard", s.name, "took", n.now-s.startedAt, "conflicts", s.conflicts+s.objectConflicts, "bytes", s.bytes, "failures", s.failures+1)
-	s.inFlight, s.known, s.conflicts, s.objectConflicts = false, false, 0, 0
+	s.inFlight, s.known, s.conflicts, s.objectConflicts, s.advances = false, false, 0, 0, false
 	n.refuseRemote(s)
 	s.retryAt = n.now + n.backoff(s.failures)
 	s.failures++
--- a/core/node/ledgersize_test.go
+++ b/core/node/ledgersize_test.go
@@ -72,3 +72,28 @@
 		}
 	})
 }
+
+// TestOperationsInAdvanceAreRepeatedAfterAnUpdateThatFailed guards against instances that
+// hold no tokens for some time after an outage because their operations were taken for
+// left out.
+func TestOperationsInAdvanceAreRepeatedAfterAnUpdateThatFailed(t *testing.T) {
+	Convey("Given an operation in advance whose update failed", t, func() {
+		h := newHosted()
+		s := h.node.ledgers.shards[0]
+		h.advance(100 * time.Millisecond)
+		So(h.node.book.Lookup("b").Advancing(), ShouldBeTrue)
+		h.node.failLedgerUpdate(s)
+		Convey("an update without it does not delay it", func() {
+			h.node.beginLedgerUpdate(s)
+			h.node.finishLedgerUpdate(s)
+			So(s.nextAdvance, ShouldEqual, 0)
+		})
+		Convey("one that left it out does", func() {
+			So(h.node.prepareOperations(s), ShouldNotBeEmpty)
+			h.node.beginLedgerUpdate(s)
+			h.node.finishLedgerUpdate(s)
+			So(s.nextAdvance, ShouldEqual, h.node.now+advancePause)
+			So(h.node.prepareOperations(s), ShouldBeEmpty)
+		})
+	})
+}
