--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -40,14 +40,23 @@
 }
 
 // send sends one request and waits for its answer, for a deadline at most.
-func (c *client) send(in *instance, service, method, path, attempt string, deadline time.Duration, header map[string]string) (s sent) {
+func (c *client) send(in *instance, service, method, path, attempt string, deadline time.Duration, header map[string]string) sent {
+	body := ""
+	if method == http.MethodPost {
+		body = "request " + attempt
+	}
+	return c.sendBody(in, service, method, path, attempt, body, deadline, header)
+}
+
+// sendBody is send with a body.
+func (c *client) sendBody(in *instance, service, method, path, attempt, text string, deadline time.Duration, header map[string]string) (s sent) {
 	s = sent{attempt: attempt, instance: in.name, service: service, at: time.Now()}
 	defer func() { c.sent(s) }()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	var body io.Reader
-	if method == http.MethodPost {
-		body = strings.NewReader("request " + attempt)
+	if text != "" {
+		body = strings.NewReader(text)
 	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+in.frontend+path, body)
 	if err != nil {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -159,6 +159,7 @@
 		"retries":           retries,
 		"no-tenants":        noTenants,
 		"headers":           headers,
+		"deadly":            deadly,
 	}[name]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case", name)
@@ -209,7 +210,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER, in the repository's root; cases:", strings.Join([]string{"forgotten-removal", "retries", "no-tenants", "headers"}, ", "))
+		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER, in the repository's root; cases:", strings.Join([]string{"forgotten-removal", "retries", "no-tenants", "headers", "deadly"}, ", "))
 		os.Exit(cannotRun)
 	}
 	os.Exit(play(os.Args[1], os.Args[2]))
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -47,9 +47,15 @@
 	server            *http.Server
 	places            chan struct{}
 	running           chan struct{}
+	// fatal is the body of a request that crashes the replica, or empty, and crashed is
+	// called when that has happened.
+	fatal   string
+	crashed func(r *replica, attempt string)
 	// leaving is set once the replica leaves.
 	mu      sync.Mutex
 	leaving bool
+	// born is the start of the replica in Unix milliseconds.
+	born int64
 }
 
 func newReplica(id, service, zone string, slots, queue int, work time.Duration, seen *arrivals) (*replica, error) {
@@ -58,7 +64,7 @@
 		return nil, err
 	}
 	r := &replica{
-		id: id, service: service, zone: zone, slots: slots, queue: queue, work: work, seen: seen, listener: l,
+		id: id, service: service, zone: zone, slots: slots, queue: queue, work: work, seen: seen, listener: l, born: time.Now().UnixMilli(),
 		places: make(chan struct{}, slots+queue), running: make(chan struct{}, slots),
 	}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: time.Minute}
@@ -70,10 +76,26 @@
 func (r *replica) register(s *store, state string) (time.Time, error) {
 	return s.put("servers", r.id, map[string]any{
 		"service": r.service, "address": r.listener.Addr().String(), "zone": r.zone, "version": "v1", "concurrency_slots": r.slots,
-		"replica_state": state, "cold_remaining_ms": 0, "sequence_number": 1, "born": 1_790_000_000_000,
+		"replica_state": state, "cold_remaining_ms": 0, "sequence_number": 1, "born": r.born,
 	})
 }
 
+// crash ends the replica's process. It is back, at the same address, after some time.
+func (r *replica) crash(s *store, down time.Duration) {
+	address := r.listener.Addr().String()
+	_ = r.server.Close()
+	time.Sleep(down)
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return
+	}
+	r.listener = l
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: time.Minute}
+	go func() { _ = r.server.Serve(l) }()
+	r.born += down.Milliseconds() + 1
+	_, _ = r.register(s, "ready")
+}
+
 // leave makes the replica say in its answers that it leaves.
 func (r *replica) leave() {
 	r.mu.Lock()
@@ -110,9 +132,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	_, _ = io.Copy(io.Discard, q.Body)
+	body, _ := io.ReadAll(q.Body)
 	e.ran = true
 	r.seen.add(e)
+	if r.fatal != "" && string(body) == r.fatal {
+		r.crashed(r, attempt)
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case r.running <- struct{}{}:
 		defer func() { <-r.running }()
