--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -13,6 +16,7 @@
 	attempt   string
 	instance  string
 	service   string
+	path      string
 	at, ended time.Time
 	status    int
 	signed    bool
@@ -50,7 +54,7 @@
 
 // sendBody is send with a body.
 func (c *client) sendBody(in *instance, service, method, path, attempt, text string, deadline time.Duration, header map[string]string) (s sent) {
-	s = sent{attempt: attempt, instance: in.name, service: service, at: time.Now()}
+	s = sent{attempt: attempt, instance: in.name, service: service, path: path, at: time.Now()}
 	defer func() { c.sent(s) }()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
@@ -84,3 +88,30 @@
 	s.retryMS = retryAfter(resp.Header)
 	return s
 }
+
+// sendRaw sends a request whose target is not changed on the way, on a connection of its
+// own.
+func (c *client) sendRaw(in *instance, target, attempt string) (s sent) {
+	s = sent{attempt: attempt, instance: in.name, service: "servis-kayit", path: target, at: time.Now()}
+	defer func() { c.sent(s) }()
+	conn, err := net.Dial("tcp", in.frontend)
+	if err != nil {
+		s.body = err.Error()
+		return s
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(4 * time.Second))
+	body := "request " + attempt
+	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 4000\r\nX-Api-Key: %s\r\nContent-Length: %d\r\n\r\n%s",
+		target, c.host, attempt, c.key, len(body), body)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		s.ended, s.body = time.Now(), err.Error()
+		return s
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	s.ended, s.status, s.complete, s.body = time.Now(), resp.StatusCode, err == nil, string(raw)
+	s.signed = resp.Header.Get("X-Replica-Signature") != ""
+	return s
+}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -74,12 +74,12 @@
 	w.mu.Unlock()
 	for _, s := range requests {
 		if service == "" || s.service == service {
-			lines = append(lines, line{s.at, fmt.Sprintf("sent %s to %s", s.attempt, s.instance)}, line{s.ended, fmt.Sprintf("answer %s: %d, signed %v, whole %v", s.attempt, s.status, s.signed, s.complete)})
+			lines = append(lines, line{s.at, fmt.Sprintf("sent %s to %s: %s", s.attempt, s.instance, s.path)}, line{s.ended, fmt.Sprintf("answer %s: %d, signed %v, whole %v", s.attempt, s.status, s.signed, s.complete)})
 		}
 	}
 	for _, a := range w.seen.list() {
 		if service == "" || a.service == service {
-			lines = append(lines, line{a.at, fmt.Sprintf("replica %s gets %s, runs it %v", a.replica, a.attempt, a.ran)})
+			lines = append(lines, line{a.at, fmt.Sprintf("replica %s gets %s: %s, runs it %v", a.replica, a.attempt, a.uri, a.ran)})
 		}
 	}
 	slices.SortStableFunc(lines, func(a, b line) int { return a.at.Compare(b.at) })
@@ -157,9 +157,9 @@
 	play, known := map[string]func(*world) (bool, error){
 		"forgotten-removal": forgottenRemoval,
 		"retries":           retries,
-		"no-tenants":        noTenants,
-		"headers":           headers,
 		"deadly":            deadly,
+		"encoded-slash":     encodedSlash,
+		"double-slash":      doubleSlash,
 	}[name]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case", name)
@@ -210,7 +210,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER, in the repository's root; cases:", strings.Join([]string{"forgotten-removal", "retries", "no-tenants", "headers", "deadly"}, ", "))
+		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER, in the repository's root; cases:", strings.Join([]string{"forgotten-removal", "retries", "deadly", "encoded-slash", "double-slash"}, ", "))
 		os.Exit(cannotRun)
 	}
 	os.Exit(play(os.Args[1], os.Args[2]))
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -15,7 +15,9 @@
 	replica string
 	service string
 	attempt string
-	ran     bool
+	// uri and host are those of the request as the replica got it.
+	uri, host string
+	ran       bool
 }
 
 // arrivals records what the replicas get.
@@ -122,7 +124,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	e := arrival{at: time.Now(), replica: r.id, service: r.service, attempt: attempt}
+	e := arrival{at: time.Now(), replica: r.id, service: r.service, attempt: attempt, uri: q.RequestURI, host: q.Host}
 	select {
 	case r.places <- struct{}{}:
 		defer func() { <-r.places }()
