--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -160,6 +160,9 @@
 		"deadly":            deadly,
 		"encoded-slash":     encodedSlash,
 		"double-slash":      doubleSlash,
+		"no-tenants":        noTenants,
+		"headers":           headers,
+		"fractions":         fractions,
 	}[name]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case", name)
@@ -210,7 +213,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER, in the repository's root; cases:", strings.Join([]string{"forgotten-removal", "retries", "deadly", "encoded-slash", "double-slash"}, ", "))
+		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER, in the repository's root; cases:", strings.Join([]string{"forgotten-removal", "retries", "deadly", "encoded-slash", "double-slash", "no-tenants", "headers", "fractions"}, ", "))
 		os.Exit(cannotRun)
 	}
 	os.Exit(play(os.Args[1], os.Args[2]))
