--- a/bench/callerstest/fixture_test.go
+++ b/bench/callerstest/fixture_test.go
@@ -72,6 +72,14 @@
 }
 
 func newFixture(t *testing.T, o options) *fixture {
+	t.Helper()
+	r := newStandins(t, o)
+	r.start()
+	return r
+}
+
+// newStandins returns a fixture whose daemon has not been started.
+func newStandins(t *testing.T, o options) *fixture {
 	t.Helper()
 	r := &fixture{t: t, runLogPath: filepath.Join(t.TempDir(), "runs")}
 	log, err := runlog.Open(r.runLogPath)
@@ -84,7 +92,6 @@
 	r.register(event.Instance{Name: "engine-1", Role: event.RoleEngine, DataCentre: "bursa", Address: r.engineAddress, Serves: []string{"assistant"}, State: event.StateLive})
 	r.register(event.Instance{Name: "records-1", Role: event.RoleService, DataCentre: "bursa", Address: services, Serves: []string{"records"}, State: event.StateLive})
 	r.settings = r.newSettings(o)
-	r.start()
 	return r
 }
 
@@ -147,12 +154,17 @@
 	}
 }
 
-// start starts the daemon, applies the configuration and waits until the daemon is
-// ready.
+// start starts the daemon in this process, applies the configuration and waits until
+// the daemon is ready.
 func (r *fixture) start() {
 	r.app = daemon.New(&r.settings, zap.NewNop())
 	requireNoError(r.t, r.app.Start(context.Background()))
 	r.t.Cleanup(func() { _ = r.app.Stop(context.Background()) })
+	r.apply()
+}
+
+// apply applies the configuration and waits until the daemon is ready.
+func (r *fixture) apply() {
 	resp, err := http.Post("http://"+r.settings.Admin.Address+"/v1/apply", "application/json", strings.NewReader(document))
 	requireNoError(r.t, err)
 	raw, _ := io.ReadAll(resp.Body)
