--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -29,6 +29,7 @@
 	OutcomeUnknown            Kind = "outcome_unknown"
 	Overloaded                Kind = "overloaded"
 	InstanceOverloaded        Kind = "instance_overloaded"
+	MemoryExhausted           Kind = "memory_exhausted"
 	DeadlineUnmeetable        Kind = "deadline_unmeetable"
 	NoTarget                  Kind = "no_target"
 	TargetNotStarted          Kind = "target_not_started"
@@ -106,6 +107,7 @@
 	OutcomeUnknown:       {http.StatusConflict, typeConflict, RanUnknown, 0, "the request may have run; its outcome is not known"},
 	Overloaded:           {http.StatusServiceUnavailable, typeRateLimit, RanNo, 1, "all targets are at their concurrency limit"},
 	InstanceOverloaded:   {http.StatusServiceUnavailable, typeRateLimit, RanNo, 1, "the instance is short of processor time; others may have room"},
+	MemoryExhausted:      {http.StatusServiceUnavailable, typeRateLimit, RanNo, 1, "the instance has no memory left for the request; others may have room"},
 	DeadlineUnmeetable:   {http.StatusServiceUnavailable, typeRateLimit, RanNo, 2, "the deadline can't be met"},
 	NoTarget:             {http.StatusServiceUnavailable, typeServer, RanNo, 2, "no live target serves this"},
 	TargetNotStarted:     {http.StatusBadGateway, typeServer, RanNo, 1, "no target accepted the request"},
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -198,6 +198,7 @@
 func OtherPeerMayServe(kind errkind.Kind) bool {
 	switch kind {
 	case errkind.None, errkind.NotReady, errkind.Stopping, errkind.Isolated, errkind.NoTarget, errkind.TargetNotStarted, errkind.TooManyStreams, errkind.InstanceOverloaded,
+		errkind.MemoryExhausted,
 		errkind.UnknownPath, errkind.Unauthenticated:
 		return true
 	}
--- /dev/null
+++ b/fleet/clientconn/limiter.go
@@ -0,0 +1,273 @@
+// Package clientconn bounds the connections of clients and the memory that an instance
+// holds for their requests, on the listeners that clients use.
+package clientconn
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"plantainfield.example/core/clientlimit"
+)
+
+// Limits are the limits of one listener.
+type Limits struct {
+	// Connections is the largest number of connections.
+	Connections int
+	// RequestBytes is the largest memory that is held for requests, in bytes.
+	RequestBytes int64
+	// WriteTimeout is how long a client may leave a part of its response unread, or 0
+	// for no limit.
+	WriteTimeout time.Duration
+}
+
+// Limiter applies Limits to the connections of its listener. It is safe for concurrent
+// use.
+type Limiter struct {
+	limits  Limits
+	log     *zap.Logger
+	began   time.Time
+	metrics metrics
+	// mu guards the fields below, and those of the connections that say so.
+	mu     sync.Mutex
+	conns  map[*Conn]struct{}
+	memory clientlimit.Memory
+	// disconnected counts the clients that gave way since nextLog was set, which is
+	// when they are logged next.
+	disconnected, refused int
+	nextLog               time.Time
+}
+
+// logPeriod is the time between two log lines about clients that give way.
+const logPeriod = time.Second
+
+// New returns a Limiter. name tells its metrics from those of other limiters.
+func New(name string, limits Limits, log *zap.Logger) *Limiter {
+	return &Limiter{
+		limits: limits, log: log.With(zap.String("listener", name)), began: time.Now(), metrics: newMetrics(name),
+		conns: map[*Conn]struct{}{}, memory: clientlimit.Memory{Limit: limits.RequestBytes},
+	}
+}
+
+// Listener returns a listener whose connections are limited.
+func (l *Limiter) Listener(inner net.Listener) net.Listener { return &listener{inner, l} }
+
+type listener struct {
+	net.Listener
+	limiter *Limiter
+}
+
+// Accept returns the next connection that is within the limit.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.limiter.add(raw); c != nil {
+			return c, nil
+		}
+		_ = raw.Close() // nothing was read from it or written to it
+	}
+}
+
+// add counts a connection, after it has disconnected another client if there are too
+// many. It returns nil if the new one is refused.
+func (l *Limiter) add(raw net.Conn) *Conn {
+	c := &Conn{Conn: raw, limiter: l}
+	l.mu.Lock()
+	var victim *Conn
+	if len(l.conns) >= l.limits.Connections {
+		conns, clients := l.snapshot()
+		i := clientlimit.ForConnection(clients)
+		if i < 0 {
+			l.refused++
+			l.logGivenWay()
+			l.mu.Unlock()
+			l.metrics.refused.Inc()
+			return nil
+		}
+		victim = conns[i]
+		delete(l.conns, victim)
+		l.disconnected++
+		l.logGivenWay()
+	}
+	c.since = l.now()
+	l.conns[c] = struct{}{}
+	l.mu.Unlock()
+	if victim != nil {
+		l.metrics.disconnected.WithLabelValues(reasonConnections).Inc()
+		_ = victim.Conn.Close() // fails only if it is closed already
+	}
+	return c
+}
+
+// now returns the time since the limiter was made.
+func (l *Limiter) now() time.Duration { return time.Since(l.began) }
+
+// snapshot returns the connections and their states. The caller holds mu.
+func (l *Limiter) snapshot() ([]*Conn, []clientlimit.Client) {
+	conns, clients := make([]*Conn, 0, len(l.conns)), make([]clientlimit.Client, 0, len(l.conns))
+	now := l.now()
+	for c := range l.conns {
+		conns, clients = append(conns, c), append(clients, c.client(now))
+	}
+	return conns, clients
+}
+
+// logGivenWay logs how many clients gave way, at a bounded rate. The caller holds mu.
+func (l *Limiter) logGivenWay() {
+	now := time.Now()
+	if now.Before(l.nextLog) {
+		return
+	}
+	l.log.Info("clients limited", zap.Int("disconnected", l.disconnected), zap.Int("refused", l.refused), zap.Int("connections", len(l.conns)),
+		zap.Int("connection_limit", l.limits.Connections), zap.Int64("request_bytes", l.memory.Total()), zap.Int64("request_byte_limit", l.limits.RequestBytes))
+	l.disconnected, l.refused, l.nextLog = 0, 0, now.Add(logPeriod)
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// ConnContext is a ConnContext function of an http.Server.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// OfRequest returns the connection that a request arrived on. The server must use a
+// Listener and ConnContext.
+func OfRequest(r *http.Request) (*Conn, error) {
+	if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+		return c, nil
+	}
+	return nil, errors.New("the request's connection is not limited")
+}
+
+// ConnState is a ConnState function of an http.Server.
+func (l *Limiter) ConnState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.setPhase(clientlimit.Running)
+	case http.StateIdle:
+		c.setIdle()
+	case http.StateHijacked, http.StateClosed:
+		c.forget()
+	}
+}
+
+// Usage is what the clients of a listener use.
+type Usage struct {
+	Connections     int   `json:"connections"`
+	ConnectionLimit int   `json:"connectionLimit"`
+	RequestBytes    int64 `json:"requestBytes"`
+	RequestLimit    int64 `json:"requestByteLimit"`
+}
+
+// Usage returns what the clients use now.
+func (l *Limiter) Usage() Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Usage{Connections: len(l.conns), ConnectionLimit: l.limits.Connections, RequestBytes: l.memory.Total(), RequestLimit: l.limits.RequestBytes}
+}
+
+// Collectors returns the limiter's metrics.
+func (l *Limiter) Collectors() []prometheus.Collector { return l.metrics.collectors(l) }
+
+// Conn is a client's connection.
+type Conn struct {
+	net.Conn
+	limiter *Limiter
+	// writingSince is when the write in progress began, as the time since the limiter
+	// was made, or 0 if there is none.
+	writingSince atomic.Int64
+	// The fields below are guarded by the limiter's mu. since is when the connection's
+	// phase began.
+	phase  clientlimit.Phase
+	since  time.Duration
+	served bool
+	// held is the memory that is held for the request, and blocks the part of it that
+	// holds its body. gaveWay is set once the body was dropped.
+	held    int64
+	blocks  [][]byte
+	gaveWay bool
+}
+
+// client returns the state of the connection. The caller holds the limiter's mu.
+func (c *Conn) client(now time.Duration) clientlimit.Client {
+	state := clientlimit.Client{Phase: c.phase, Age: now - c.since, Bytes: c.held, Served: c.served}
+	if writing := c.writingSince.Load(); writing > 0 && c.phase == clientlimit.Running {
+		state.Phase, state.Age = clientlimit.Sending, now-time.Duration(writing)
+	}
+	return state
+}
+
+func (c *Conn) setPhase(phase clientlimit.Phase) {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.phase, c.since = phase, c.limiter.now()
+}
+
+// setIdle records that a response is complete and the connection waits for the next
+// request.
+func (c *Conn) setIdle() {
+	c.setPhase(clientlimit.Waiting)
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.served = true
+}
+
+// SetClosing records that the connection ends with the response that is sent next.
+func (c *Conn) SetClosing() { c.setPhase(clientlimit.Closing) }
+
+// Write writes within the write timeout.
+func (c *Conn) Write(b []byte) (int, error) {
+	if timeout := c.limiter.limits.WriteTimeout; timeout > 0 {
+		if err := c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+			return 0, err
+		}
+	}
+	c.writingSince.Store(int64(c.limiter.now()))
+	defer c.writingSince.Store(0)
+	return c.Conn.Write(b)
+}
+
+// CloseWrite ends the sending direction, so that a client that is still sending gets the
+// response.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// SetLinger is net.TCPConn.SetLinger.
+func (c *Conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.forget()
+	return c.Conn.Close()
+}
+
+// forget counts the connection no longer. What it holds is counted until Release.
+func (c *Conn) forget() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	delete(c.limiter.conns, c)
+}
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -19,6 +20,7 @@
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/node"
 	"plantainfield.example/fleet/callstats"
+	"plantainfield.example/fleet/clientconn"
 	"plantainfield.example/fleet/datagram"
 	"plantainfield.example/fleet/gateway"
 	"plantainfield.example/fleet/logring"
@@ -87,7 +89,7 @@
 		}),
 		fx.StartTimeout(hostedStartTimeout),
 		fx.StopTimeout(adapter.GracePeriod),
-		fx.Provide(newIdentity, newHostedLoop, newUpstream, newGateway, newPeerServer, newPeerSender, newDatagramTransport, gateway.NewAddressResolver),
+		fx.Provide(newIdentity, newHostedLoop, newUpstream, newGateway, newPeerServer, newPeerSender, newDatagramTransport, newClientLimiter, gateway.NewAddressResolver),
 		fx.Invoke(runHostedListeners, runHostedWorkers),
 	)
 }
@@ -133,6 +135,14 @@
 	return gateway.New(loop, targets, upstream.NewPeerClient(adapter.AttemptIDHeader), adapter.Protocol, adapter.Settings, log)
 }
 
+// requestMemoryShare is the part of the memory that clients' requests may use.
+const requestMemoryShare = 4
+
+func newClientLimiter(adapter *PlatformAdapter, log *zap.Logger) *clientconn.Limiter {
+	limits := clientconn.Limits{Connections: math.MaxInt, RequestBytes: adapter.MemoryBytes / requestMemoryShare}
+	return clientconn.New("callers", limits, log.Named(logring.InstanceLogger))
+}
+
 // hostedParams are the dependencies of the background workers and the
 // listeners.
 type hostedParams struct {
@@ -142,6 +152,7 @@
 	Adapter    *PlatformAdapter
 	Loop       *runtime.Loop
 	Gateway    *gateway.Server
+	Clients    *clientconn.Limiter
 	Targets    *upstream.Client
 	Addresses  *gateway.AddressResolver
 	Sender     *peers.Sender
@@ -242,10 +253,13 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(hostedRegistry(p), promhttp.HandlerOpts{}))
 	servers := map[string]*http.Server{
-		p.Adapter.Settings.Callers.Address: {Handler: p.Gateway, MaxHeaderBytes: limits.MaxHeaderBytes, ConnState: idle.StateChanged},
-		p.Adapter.DirectoryAddress:         {Handler: p.Adapter.DirectoryHandler(p.Addresses)},
-		p.Adapter.ReadyAddress:             {Handler: p.Adapter.ReadyHandler(p.Gateway.Ready)},
-		p.Adapter.MetricsAddress:           {Handler: metrics},
+		p.Adapter.Settings.Callers.Address: {Handler: p.Gateway, MaxHeaderBytes: limits.MaxHeaderBytes, ConnContext: clientconn.ConnContext, ConnState: func(c net.Conn, state http.ConnState) {
+			p.Clients.ConnState(c, state)
+			idle.StateChanged(c, state)
+		}},
+		p.Adapter.DirectoryAddress: {Handler: p.Adapter.DirectoryHandler(p.Addresses)},
+		p.Adapter.ReadyAddress:     {Handler: p.Adapter.ReadyHandler(p.Gateway.Ready)},
+		p.Adapter.MetricsAddress:   {Handler: metrics},
 	}
 	errorLog := zap.NewStdLog(p.Log.Named("http").WithOptions(zap.IncreaseLevel(zap.WarnLevel)))
 	serve := func(address string, run func(net.Listener) error) error {
@@ -253,6 +267,9 @@
 		if err != nil {
 			return err
 		}
+		if address == p.Adapter.Settings.Callers.Address {
+			l = p.Clients.Listener(l)
+		}
 		go func() {
 			if err := run(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				p.Log.Error("listener failed", zap.String("address", address), zap.Error(err))
--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/quarantine"
+	"plantainfield.example/fleet/clientconn"
 	"plantainfield.example/fleet/httpabort"
 	"plantainfield.example/fleet/runtime"
 )
@@ -28,7 +29,9 @@
 	route  *config.Route
 	index  *config.Index
 	owner  config.KeyOwner
-	body   []byte
+	// conn is the connection that the request arrived on, and body its body in blocks.
+	conn *clientconn.Conn
+	body [][]byte
 	// bodyHash identifies repeats of the request.
 	bodyHash string
 	// handedOverAttempts is the number of targets that the request may be sent to
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -17,6 +17,7 @@
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/placement"
+	"plantainfield.example/fleet/clientconn"
 	"plantainfield.example/fleet/logring"
 	"plantainfield.example/fleet/runtime"
 	"plantainfield.example/fleet/settings"
@@ -122,13 +123,20 @@
 		s.refuseOverloaded(w, r, retryAfter)
 		return
 	}
-	x := &exchange{server: s, w: w, r: r, meta: meta, route: route, index: index, owner: owner, arrived: arrived, handedOverAttempts: s.handedOverAttempts(r, meta.AttemptID)}
+	conn, err := clientconn.OfRequest(r)
+	if err != nil {
+		s.refuseEarly(w, r, errkind.Internal, arrived, err.Error())
+		return
+	}
+	defer conn.Release()
+	x := &exchange{server: s, w: w, conn: conn, r: r, meta: meta, route: route, index: index, owner: owner, arrived: arrived, handedOverAttempts: s.handedOverAttempts(r, meta.AttemptID)}
 	var kind errkind.Kind
-	if x.body, kind = s.readBody(w, r, index.Routing.CallerLimits, x.deadline()); kind != errkind.None {
+	if x.body, kind = s.readBody(w, r, conn, index.Routing.CallerLimits, x.deadline()); kind != errkind.None {
 		s.refuseEarly(w, r, kind, arrived, "")
 		return
 	}
 	x.run()
+	x.body = nil // the examination of a target may go on
 }
 
 // ownerOf returns the customer that owns an API key, and whether the request is
@@ -142,7 +150,7 @@
 }
 
 // readBody reads the complete request body, until the request's deadline at most.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limits config.CallerLimits, deadline time.Time) ([]byte, errkind.Kind) {
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, conn *clientconn.Conn, limits config.CallerLimits, deadline time.Time) ([][]byte, errkind.Kind) {
 	if r.ContentLength == 0 {
 		return nil, errkind.None
 	}
@@ -157,7 +165,7 @@
 		deadline = longest
 	}
 	s.setReadDeadline(w, deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := conn.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, 1)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
@@ -165,6 +173,8 @@
 		return body, errkind.None
 	case errors.As(err, &tooLarge):
 		return nil, errkind.BodyTooLarge
+	case errors.Is(err, clientconn.ErrNoMemory):
+		return nil, errkind.MemoryExhausted
 	case errors.Is(err, context.Canceled), errors.Is(err, io.ErrUnexpectedEOF):
 		return nil, errkind.CallerGone
 	}
@@ -177,10 +187,14 @@
 	}
 }
 
+// restTimeout bounds the time for which the rest of a body is read whose request was
+// refused. net/http bounds its size.
+const restTimeout = time.Second
+
 // respondBeforeBody makes the response go out although the request's body may not
 // have arrived: without it, net/http reads the rest of the body first, for as long as
-// that takes. Afterwards the rest is read for readTimeoutMillis at most, or not at all
-// if the body took too long already.
+// that takes. Afterwards the rest is read for restTimeout at most, or not at all if the
+// body took too long or there is no memory for it.
 func (s *Server) respondBeforeBody(w http.ResponseWriter, r *http.Request, kind errkind.Kind) {
 	if r.ContentLength == 0 {
 		return
@@ -188,11 +202,12 @@
 	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
 		s.log.Warn("response waits for the body", zap.Error(err))
 	}
-	if kind == errkind.SlowSender {
+	if kind == errkind.SlowSender || kind == errkind.MemoryExhausted {
 		w.Header().Set("Connection", "close")
+		s.setReadDeadline(w, time.Now())
 		return
 	}
-	s.setReadDeadline(w, time.Now().Add(settings.Millis(s.limits.ReadTimeoutMillis)))
+	s.setReadDeadline(w, time.Now().Add(restTimeout))
 }
 
 // refuseEarly sends an error response to a request that is not passed to the
@@ -264,9 +279,13 @@
 // customer and body.
 func (x *exchange) hashBody() string {
 	h := sha256.New()
-	for _, part := range [][]byte{[]byte(x.r.Method), []byte(x.r.RequestURI), []byte(x.owner.Customer), x.body} {
+	for _, part := range [][]byte{[]byte(x.r.Method), []byte(x.r.RequestURI), []byte(x.owner.Customer)} {
 		_, _ = h.Write(part)
 		_, _ = h.Write([]byte{0})
 	}
+	for _, block := range x.body {
+		_, _ = h.Write(block)
+	}
+	_, _ = h.Write([]byte{0})
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
--- a/fleet/httpabort/httpabort.go
+++ b/fleet/httpabort/httpabort.go
@@ -3,7 +3,6 @@
 package httpabort
 
 import (
-	"net"
 	"net/http"
 
 	"go.uber.org/zap"
@@ -26,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		if err := tcp.SetLinger(0); err != nil {
 			return err
 		}
--- a/fleet/upstream/exchange.go
+++ b/fleet/upstream/exchange.go
@@ -64,7 +64,7 @@
 }
 
 // roundTrip writes the request and reads the header of its response.
-func (x *exchange) roundTrip(req *http.Request, body []byte) (*http.Response, error) {
+func (x *exchange) roundTrip(req *http.Request, body [][]byte) (*http.Response, error) {
 	if err := x.write(req, body); err != nil {
 		return nil, err
 	}
@@ -94,12 +94,12 @@
 // write sends the header and a short body together. It writes a long body in
 // the background, because a target may respond before it has read all of the
 // body.
-func (x *exchange) write(req *http.Request, body []byte) error {
-	background := len(body) > backgroundWriteBytes
-	if !background && len(body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(body))
+func (x *exchange) write(req *http.Request, body [][]byte) error {
+	req.ContentLength = totalLength(body)
+	background := req.ContentLength > backgroundWriteBytes
+	if !background && req.ContentLength > 0 {
+		req.Body = io.NopCloser(newBlockReader(body))
 	}
-	req.ContentLength = int64(len(body))
 	if !background {
 		return x.writeAll(req)
 	}
@@ -111,13 +111,37 @@
 		return err
 	}
 	x.bodyWriteResult = make(chan error, 1)
-	go func() {
-		_, err := x.conn.Write(body)
-		x.bodyWriteResult <- err
-	}()
+	go func() { x.bodyWriteResult <- x.writeBlocks(body) }()
 	return nil
 }
 
+func (x *exchange) writeBlocks(body [][]byte) error {
+	for _, block := range body {
+		if _, err := x.conn.Write(block); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// totalLength returns the length of a body in blocks.
+func totalLength(body [][]byte) int64 {
+	length := int64(0)
+	for _, block := range body {
+		length += int64(len(block))
+	}
+	return length
+}
+
+// newBlockReader returns a reader of a body in blocks.
+func newBlockReader(body [][]byte) io.Reader {
+	readers := make([]io.Reader, len(body))
+	for i, block := range body {
+		readers[i] = bytes.NewReader(block)
+	}
+	return io.MultiReader(readers...)
+}
+
 func (x *exchange) writeAll(req *http.Request) error {
 	w := bufio.NewWriterSize(x.conn, backgroundWriteBytes+readBufferBytes)
 	if err := req.Write(w); err != nil {
--- a/fleet/upstream/upstream.go
+++ b/fleet/upstream/upstream.go
@@ -142,10 +142,10 @@
 	pc.sent = append(pc.sent, id)
 }
 
-// Do sends a request and returns its response. The caller must close the
+// Do sends a request with a body in blocks and returns its response. The caller must close the
 // response body. If ctx ends, the connection is closed, which cancels the
 // request; a head that arrives until HeadGrace later is returned nevertheless.
-func (c *Client) Do(ctx context.Context, address string, req *http.Request, body []byte) (*http.Response, error) {
+func (c *Client) Do(ctx context.Context, address string, req *http.Request, body [][]byte) (*http.Response, error) {
 	pc, err := c.connection(ctx, address, req.Header.Get(c.attemptHeader))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
--- a/fleet/upstream/upstream_test.go
+++ b/fleet/upstream/upstream_test.go
@@ -56,7 +56,7 @@
 
 // post sends a POST request and returns the complete response body.
 func post(c *Client, address, id string, body []byte) (string, error) {
-	resp, err := c.Do(context.Background(), address, request(http.MethodPost, id), body)
+	resp, err := c.Do(context.Background(), address, request(http.MethodPost, id), [][]byte{body})
 	if err != nil {
 		return "", err
 	}
