--- a/core/clientlimit/clientlimit_test.go
+++ b/core/clientlimit/clientlimit_test.go
@@ -97,3 +97,15 @@
 		So(m.Grow(limit, 1), ShouldBeFalse)
 	})
 }
+
+func TestConnectionsOfAllUsesFitIntoTheSockets(t *testing.T) {
+	Convey("Whatever a process may have, the connections of all uses leave some over", t, func() {
+		for _, sockets := range []int{300, 400, 3900, 7992} {
+			for _, memory := range []int64{96 << 20, 134 << 20, 536 << 20, 64 << 30} {
+				c := DivideConnections(memory, sockets)
+				So(2*c.Clients+c.Directory+2*c.Operators+c.Peers+c.IdleTargets+c.IdlePeers, ShouldBeLessThanOrEqualTo, sockets*15/16)
+				So(int64(c.Clients*connectionBytes), ShouldBeLessThanOrEqualTo, memory/connectionMemoryShare)
+			}
+		}
+	})
+}
--- a/fleet/clientconn/clientconn_test.go
+++ b/fleet/clientconn/clientconn_test.go
@@ -174,3 +174,58 @@
 		So(s.limiter.memory.Grow(0, requestBytes), ShouldBeTrue)
 	})
 }
+
+func TestIdleConnectionsDontFillTheMemory(t *testing.T) {
+	Convey("Connections beyond the limit are closed, the one that has been idle longest first, and never one that is in use", t, func() {
+		const limit = 4
+		l := New("test", Limits{Connections: limit}, zap.NewNop())
+		var near []*Conn
+		var far []net.Conn
+		open := func() {
+			c, other := net.Pipe()
+			near, far = append(near, l.add(c)), append(far, other)
+			So(near[len(near)-1], ShouldNotBeNil)
+			l.ConnState(near[len(near)-1], http.StateActive)
+		}
+		for range limit {
+			open()
+		}
+		So(l.add(near[0].Conn), ShouldBeNil) // all are in use
+		for _, c := range near {
+			l.ConnState(c, http.StateIdle)
+		}
+		const used = 2
+		l.ConnState(near[used], http.StateActive)
+		for range limit - 1 {
+			open()
+			l.ConnState(near[len(near)-1], http.StateIdle)
+		}
+		for i := range near {
+			isOpen := i == used || i >= limit
+			go func() { _, _ = near[i].Read(make([]byte, 1)) }() // ends with the other end
+			_, err := far[i].Write([]byte("x"))
+			So(err == nil, ShouldEqual, isOpen)
+		}
+		So(l.Usage().Connections, ShouldEqual, limit)
+		So(near[used].Close(), ShouldBeNil)
+		l.ConnState(near[used], http.StateClosed)
+		So(l.Usage().Connections, ShouldEqual, limit-1)
+	})
+}
+
+func TestConnectionsThatReadAreKeptWithoutConnState(t *testing.T) {
+	Convey("On a listener whose server does not tell of its connections, those on which nothing arrives are closed first", t, func() {
+		l := New("test", Limits{Connections: 2, TracksReads: true}, zap.NewNop())
+		reading, other := net.Pipe()
+		c := l.add(reading)
+		silent, silentFar := net.Pipe()
+		So(l.add(silent), ShouldNotBeNil)
+		go func() { _, _ = other.Write([]byte("x")) }() // read below
+		_, err := c.Read(make([]byte, 1))
+		So(err, ShouldBeNil)
+		third, _ := net.Pipe()
+		So(l.add(third), ShouldNotBeNil)
+		_, err = silentFar.Read(make([]byte, 1))
+		So(err, ShouldEqual, io.EOF)
+	})
+}
--- a/fleet/clientconn/limiter.go
+++ b/fleet/clientconn/limiter.go
@@ -26,6 +26,9 @@
 	// WriteTimeout is how long a client may leave a part of its response unread, or 0
 	// for no limit.
 	WriteTimeout time.Duration
+	// TracksReads is set if the server does not call ConnState: a connection then waits
+	// from the last time that something was read from it.
+	TracksReads bool
 }
 
 // Limiter applies Limits to the connections of its listener. It is safe for concurrent
@@ -218,18 +221,25 @@
 	c.phase, c.since = phase, c.limiter.now()
 }
 
-// setIdle records that a response is complete and the connection waits for the next
-// request.
+// setIdle records that a request is complete and the connection waits for the next one.
 func (c *Conn) setIdle() {
-	c.setPhase(clientlimit.Waiting)
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
-	c.served = true
+	c.phase, c.since, c.served = clientlimit.Waiting, c.limiter.now(), true
 }
 
 // SetClosing records that the connection ends with the response that is sent next.
 func (c *Conn) SetClosing() { c.setPhase(clientlimit.Closing) }
 
+// Read reads from the connection.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.limiter.limits.TracksReads {
+		c.setIdle()
+	}
+	return n, err
+}
+
 // Write writes within the write timeout.
 func (c *Conn) Write(b []byte) (int, error) {
 	if timeout := c.limiter.limits.WriteTimeout; timeout > 0 {
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -42,6 +41,8 @@
 	DirectoryAddress, ReadyAddress, MetricsAddress string
 	// MemoryBytes is the maximum memory of the process.
 	MemoryBytes int64
+	// Sockets is the maximum number of sockets of the process.
+	Sockets int
 	// MaxObjectBytes is the largest size of an object that the platform stores, or 0
 	// if it is not known.
 	MaxObjectBytes int
@@ -89,7 +90,7 @@
 		}),
 		fx.StartTimeout(hostedStartTimeout),
 		fx.StopTimeout(adapter.GracePeriod),
-		fx.Provide(newIdentity, newHostedLoop, newUpstream, newGateway, newPeerServer, newPeerSender, newDatagramTransport, newClientLimiter, gateway.NewAddressResolver),
+		fx.Provide(newIdentity, newHostedLoop, newUpstream, newGateway, newPeerServer, newPeerSender, newDatagramTransport, newHostedLimiters, gateway.NewAddressResolver),
 		fx.Invoke(runHostedListeners, runHostedWorkers),
 	)
 }
@@ -128,19 +129,15 @@
 }
 
 func newUpstream(adapter *PlatformAdapter) *upstream.Client {
-	return upstream.NewClient(adapter.AttemptIDHeader, adapter.DialTarget)
+	client := upstream.NewClient(adapter.AttemptIDHeader, adapter.DialTarget)
+	client.SetMaxIdle(adapter.connections().IdleTargets)
+	return client
 }
 
 func newGateway(adapter *PlatformAdapter, loop *runtime.Loop, targets *upstream.Client, log *zap.Logger) *gateway.Server {
-	return gateway.New(loop, targets, upstream.NewPeerClient(adapter.AttemptIDHeader), adapter.Protocol, adapter.Settings, log)
-}
-
-// requestMemoryShare is the part of the memory that clients' requests may use.
-const requestMemoryShare = 4
-
-func newClientLimiter(adapter *PlatformAdapter, log *zap.Logger) *clientconn.Limiter {
-	limits := clientconn.Limits{Connections: math.MaxInt, RequestBytes: adapter.MemoryBytes / requestMemoryShare}
-	return clientconn.New("callers", limits, log.Named(logring.InstanceLogger))
+	peerClient := upstream.NewPeerClient(adapter.AttemptIDHeader)
+	peerClient.SetMaxIdle(adapter.connections().IdlePeers)
+	return gateway.New(loop, targets, peerClient, adapter.Protocol, adapter.Settings, log)
 }
 
 // hostedParams are the dependencies of the background workers and the
@@ -152,7 +149,7 @@
 	Adapter    *PlatformAdapter
 	Loop       *runtime.Loop
 	Gateway    *gateway.Server
-	Clients    *clientconn.Limiter
+	Limiters   *listenerLimiters
 	Targets    *upstream.Client
 	Addresses  *gateway.AddressResolver
 	Sender     *peers.Sender
@@ -249,29 +246,23 @@
 // runHostedListeners serves callers, peers and the platform.
 func runHostedListeners(p hostedParams) {
 	limits := p.Adapter.Settings.Limits
-	idle := gateway.NewIdleConnections(p.Adapter.MemoryBytes, p.Log.Named(logring.InstanceLogger))
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(hostedRegistry(p), promhttp.HandlerOpts{}))
-	servers := map[string]*http.Server{
-		p.Adapter.Settings.Callers.Address: {Handler: p.Gateway, MaxHeaderBytes: limits.MaxHeaderBytes, ConnContext: clientconn.ConnContext, ConnState: func(c net.Conn, state http.ConnState) {
-			p.Clients.ConnState(c, state)
-			idle.StateChanged(c, state)
-		}},
-		p.Adapter.DirectoryAddress: {Handler: p.Adapter.DirectoryHandler(p.Addresses)},
-		p.Adapter.ReadyAddress:     {Handler: p.Adapter.ReadyHandler(p.Gateway.Ready)},
-		p.Adapter.MetricsAddress:   {Handler: metrics},
+	limiters := p.Limiters
+	servers := map[*clientconn.Limiter]*http.Server{
+		limiters.callers:   {Addr: p.Adapter.Settings.Callers.Address, Handler: p.Gateway, MaxHeaderBytes: limits.MaxHeaderBytes},
+		limiters.directory: {Addr: p.Adapter.DirectoryAddress, Handler: p.Adapter.DirectoryHandler(p.Addresses)},
+		limiters.ready:     {Addr: p.Adapter.ReadyAddress, Handler: p.Adapter.ReadyHandler(p.Gateway.Ready)},
+		limiters.metrics:   {Addr: p.Adapter.MetricsAddress, Handler: metrics},
 	}
 	errorLog := zap.NewStdLog(p.Log.Named("http").WithOptions(zap.IncreaseLevel(zap.WarnLevel)))
-	serve := func(address string, run func(net.Listener) error) error {
+	serve := func(address string, limiter *clientconn.Limiter, run func(net.Listener) error) error {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			return err
 		}
-		if address == p.Adapter.Settings.Callers.Address {
-			l = p.Clients.Listener(l)
-		}
 		go func() {
-			if err := run(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			if err := run(limiter.Listener(l)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				p.Log.Error("listener failed", zap.String("address", address), zap.Error(err))
 				_ = p.Shutdowner.Shutdown(fx.ExitCode(1))
 			}
@@ -281,12 +272,13 @@
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			var failed error
-			for address, s := range servers {
+			for limiter, s := range servers {
+				s.ConnContext, s.ConnState = clientconn.ConnContext, limiter.ConnState
 				s.ReadHeaderTimeout, s.IdleTimeout = settings.Millis(limits.ReadTimeoutMillis), settings.Millis(limits.IdleTimeoutMillis)
 				s.ErrorLog = errorLog
-				failed = errors.Join(failed, serve(address, s.Serve))
+				failed = errors.Join(failed, serve(s.Addr, limiter, s.Serve))
 			}
-			return errors.Join(failed, serve(p.Adapter.Settings.Peers.Address, p.Peers.Serve))
+			return errors.Join(failed, serve(p.Adapter.Settings.Peers.Address, limiters.peers, p.Peers.Serve))
 		},
 		OnStop: func(stop context.Context) error {
 			ctx, cancel := context.WithTimeout(context.Background(), listenerCloseTimeout(stop))
--- a/fleet/daemon/metrics.go
+++ b/fleet/daemon/metrics.go
@@ -79,6 +79,6 @@
 	r := prometheus.NewRegistry()
 	r.MustRegister(newCollector(p.Loop, p.Gateway), collectors.NewGoCollector(), p.Adapter.PlatformCalls)
 	r.MustRegister(p.Gateway.Collectors()...)
-	r.MustRegister(p.Clients.Collectors()...)
+	r.MustRegister(p.Limiters.collectors()...)
 	return r
 }
--- a/fleet/upstream/idle.go
+++ b/fleet/upstream/idle.go
@@ -35,13 +35,10 @@
 				kept = append(kept, pc)
 			} else {
 				_ = pc.Close()
+				c.idleCount--
 			}
 		}
 		clear(idle[len(kept):])
-		if len(kept) == 0 {
-			delete(c.idle, address)
-		} else {
-			c.idle[address] = kept
-		}
+		c.setIdle(address, kept)
 	}
 }
--- a/fleet/upstream/idle_test.go
+++ b/fleet/upstream/idle_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -54,3 +55,28 @@
 		So(client.idle, ShouldBeEmpty)
 	})
 }
+
+func TestIdleConnectionsToAllTargetsAreBounded(t *testing.T) {
+	// Guards against idle connections that take the descriptors of others.
+	Convey("Given more idle connections than all targets together may have", t, func() {
+		const limit = 3
+		client := NewClient(attemptHeader, nil)
+		client.SetMaxIdle(limit)
+		var far []net.Conn
+		for i := range limit + 2 {
+			near, other := net.Pipe()
+			far = append(far, other)
+			client.putIdle(&conn{Conn: near, address: fmt.Sprint("target-", i%2)}, time.Duration(i+1)*time.Hour)
+		}
+		Convey("those that may be reused for the shortest time are closed", func() {
+			for i, other := range far {
+				_ = other.SetReadDeadline(time.Now().Add(time.Millisecond)) // a pipe has no other errors
+				_, err := other.Read(make([]byte, 1))
+				So(err == io.EOF, ShouldEqual, i < 2)
+			}
+			So(client.idleCount, ShouldEqual, limit)
+			So(client.takeIdle("target-0"), ShouldNotBeNil)
+			So(client.idleCount, ShouldEqual, limit-1)
+		})
+	})
+}
--- a/fleet/upstream/upstream.go
+++ b/fleet/upstream/upstream.go
@@ -66,6 +66,9 @@
 	// idle holds the idle connections by address, with the most recently used
 	// one last. It is guarded by mu.
 	idle map[string][]*conn
+	// idleCount is the number of idle connections, and maxIdle its limit, or 0 for none.
+	// They are guarded by mu.
+	idleCount, maxIdle int
 }
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
@@ -259,11 +262,8 @@
 		return nil
 	}
 	pc := idle[len(idle)-1]
-	if len(idle) == 1 {
-		delete(c.idle, address)
-	} else {
-		c.idle[address] = idle[:len(idle)-1]
-	}
+	c.idleCount--
+	c.setIdle(address, idle[:len(idle)-1])
 	return pc
 }
 
@@ -276,5 +276,43 @@
 		_ = pc.Close()
 		return
 	}
+	if c.maxIdle > 0 && c.idleCount >= c.maxIdle {
+		c.closeStalest()
+	}
 	c.idle[pc.address] = append(c.idle[pc.address], pc)
+	c.idleCount++
+}
+
+// SetMaxIdle limits the idle connections to all targets together. Beyond it, the one
+// that may be reused for the shortest time is closed.
+func (c *Client) SetMaxIdle(connections int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxIdle = connections
+}
+
+// closeStalest closes the idle connection that may be reused for the shortest time among
+// those that each target has left unused for longest. The caller holds mu.
+func (c *Client) closeStalest() {
+	var stalest *conn
+	for _, idle := range c.idle {
+		if stalest == nil || idle[0].reuseUntil.Before(stalest.reuseUntil) {
+			stalest = idle[0]
+		}
+	}
+	if stalest == nil {
+		return
+	}
+	_ = stalest.Close() // it is not used
+	c.setIdle(stalest.address, c.idle[stalest.address][1:])
+	c.idleCount--
+}
+
+// setIdle replaces the idle connections to an address. The caller holds mu.
+func (c *Client) setIdle(address string, idle []*conn) {
+	if len(idle) == 0 {
+		delete(c.idle, address)
+		return
+	}
+	c.idle[address] = idle
 }
