--- a/fleet/clientconn/limiter.go
+++ b/fleet/clientconn/limiter.go
@@ -9,10 +9,12 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"plantainfield.example/core/clientlimit"
 )
@@ -62,6 +64,26 @@
 // Listener returns a listener whose connections are limited.
 func (l *Limiter) Listener(inner net.Listener) net.Listener { return &listener{inner, l} }
 
+// receiveBufferBytes bounds what the kernel receives on a connection before it is read.
+// By default it receives megabytes from clients that send fast.
+const receiveBufferBytes = 32 << 10
+
+// Listen listens at an IP:port. Its connections are limited, also in what they receive.
+func (l *Limiter) Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+		})
+		return errors.Join(err, failed)
+	}}
+	inner, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return l.Listener(inner), nil
+}
+
 type listener struct {
 	net.Listener
 	limiter *Limiter
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -257,12 +257,12 @@
 	}
 	errorLog := zap.NewStdLog(p.Log.Named("http").WithOptions(zap.IncreaseLevel(zap.WarnLevel)))
 	serve := func(address string, limiter *clientconn.Limiter, run func(net.Listener) error) error {
-		l, err := net.Listen("tcp", address)
+		l, err := limiter.Listen(context.Background(), address)
 		if err != nil {
 			return err
 		}
 		go func() {
-			if err := run(limiter.Listener(l)); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			if err := run(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				p.Log.Error("listener failed", zap.String("address", address), zap.Error(err))
 				_ = p.Shutdowner.Shutdown(fx.ExitCode(1))
 			}
--- a/fleet/upstream/socket.go
+++ b/fleet/upstream/socket.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"net"
 	"syscall"
 
@@ -21,30 +22,40 @@
 	probeCount       = 2
 )
 
-// SetSocketOptions makes the kernel close a connection whose peer no longer
-// responds.
+// receiveBufferBytes bounds what the kernel receives on a connection before it is read.
+// By default it receives megabytes where the client of a response does not keep up.
+const receiveBufferBytes = 32 << 10
+
+// socketOption is an option of a socket, and its value.
+type socketOption struct{ level, name, value int }
+
+// SetSocketOptions makes the kernel close a connection whose peer no longer responds.
 func SetSocketOptions(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	set := func(level, option, value int) func(uintptr) {
-		return func(fd uintptr) {
-			if err := unix.SetsockoptInt(int(fd), level, option, value); err != nil && failed == nil {
-				failed = err
-			}
-		}
-	}
-	options := []func(uintptr){
-		set(unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, ackTimeoutMillis),
-		set(unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1),
-		set(unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, probeIdleSeconds),
-		set(unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, probeSeconds),
-		set(unix.IPPROTO_TCP, unix.TCP_KEEPCNT, probeCount),
+	return setOptions(raw,
+		socketOption{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, ackTimeoutMillis},
+		socketOption{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
+		socketOption{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, probeIdleSeconds},
+		socketOption{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, probeSeconds},
+		socketOption{unix.IPPROTO_TCP, unix.TCP_KEEPCNT, probeCount})
+}
+
+// setTargetOptions is SetSocketOptions for connections to targets, and bounds what the
+// kernel receives on them before it is read.
+func setTargetOptions(network, address string, raw syscall.RawConn) error {
+	if err := setOptions(raw, socketOption{unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes}); err != nil {
+		return err
 	}
-	for _, o := range options {
-		if err := raw.Control(o); err != nil {
-			return err
+	return SetSocketOptions(network, address, raw)
+}
+
+func setOptions(raw syscall.RawConn, options ...socketOption) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		for _, o := range options {
+			failed = errors.Join(failed, unix.SetsockoptInt(int(fd), o.level, o.name, o.value))
 		}
-	}
-	return failed
+	})
+	return errors.Join(err, failed)
 }
 
 // isIdle reports whether an unused connection is open and has no unread data.
--- a/fleet/upstream/upstream.go
+++ b/fleet/upstream/upstream.go
@@ -78,7 +78,7 @@
 // attemptHeader. Connections are opened with dial, or over TCP if it is nil.
 func NewClient(attemptHeader string, dial DialFunc) *Client {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: SetSocketOptions}).DialContext
+		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTargetOptions}).DialContext
 	}
 	return &Client{
 		attemptHeader: attemptHeader,
