--- a/core/clientlimit/clientlimit.go
+++ b/core/clientlimit/clientlimit.go
@@ -156,8 +156,14 @@
 	return count == 0 || others+held+more <= m.Limit-m.Limit/smallShare
 }
 
+// Shrink counts fewer bytes of a request that holds some.
+func (m *Memory) Shrink(held, less int64) {
+	m.count(held, -1)
+	m.count(held-less, 1)
+}
+
 // Release counts the bytes of a request no longer.
-func (m *Memory) Release(held int64) { m.count(held, -1) }
+func (m *Memory) Release(held int64) { m.Shrink(held, held) }
 
 func (m *Memory) count(bytes int64, sign int) {
 	m.total += int64(sign) * bytes
--- a/fleet/clientconn/body.go
+++ b/fleet/clientconn/body.go
@@ -1,24 +1,18 @@
 package clientconn
 
 import (
+	"context"
 	"errors"
 	"io"
 	"time"
 
 	"plantainfield.example/core/clientlimit"
+	"plantainfield.example/fleet/blocks"
 )
 
 // ErrNoMemory reports that the memory for requests does not suffice for a body.
 var ErrNoMemory = errors.New("there is no memory left for the request")
 
-const (
-	// firstBlockBytes is the size of a body's first block. Each further one is twice as
-	// large as the one before, up to maxBlockBytes, so that a body costs little before
-	// it has arrived.
-	firstBlockBytes = 4 << 10
-	maxBlockBytes   = 64 << 10
-)
-
 // ReadBody reads a body into blocks. length is its length, or negative if it isn't known
 // in advance. copies is the number of bytes that the request holds for each byte of its
 // body. If the memory of all requests together is used up, a body that has held much of
@@ -26,8 +20,8 @@
 // Release.
 func (c *Conn) ReadBody(r io.Reader, length int64, copies int64) ([][]byte, error) {
 	c.setPhase(clientlimit.Receiving)
-	size := int64(firstBlockBytes)
-	for remaining := length; remaining != 0; size = min(2*size, maxBlockBytes) {
+	size := int64(blocks.FirstBytes)
+	for remaining := length; remaining != 0; size = blocks.NextBytes(size) {
 		if remaining > 0 {
 			size = min(size, remaining)
 		}
@@ -35,7 +29,7 @@
 		if err != nil {
 			return nil, c.endBody(err)
 		}
-		n, err := fill(r, block)
+		n, err := blocks.Fill(r, block)
 		if length < 0 && err == io.EOF {
 			c.trimBlock(n)
 			break
@@ -50,20 +44,6 @@
 	return c.takeBody()
 }
 
-// fill reads until a block is full, or returns how much of it is filled and the error
-// that ended the reading.
-func fill(r io.Reader, block []byte) (int, error) {
-	filled := 0
-	for filled < len(block) {
-		n, err := r.Read(block[filled:])
-		filled += n
-		if err != nil {
-			return filled, err
-		}
-	}
-	return filled, nil
-}
-
 // addBlock adds a block of a size to the body.
 func (c *Conn) addBlock(size, copies int64) ([]byte, error) {
 	l := c.limiter
@@ -154,6 +134,30 @@
 	return true
 }
 
+// AwaitReserve counts memory for the request once there is any left, or returns the error
+// of ctx.
+func (c *Conn) AwaitReserve(ctx context.Context, bytes int64) error {
+	for !c.Reserve(bytes) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(reservePeriod):
+		}
+	}
+	return nil
+}
+
+// reservePeriod is the time between two attempts to reserve memory.
+const reservePeriod = 5 * time.Millisecond
+
+// Return gives back a part of the memory that is held for the request.
+func (c *Conn) Return(bytes int64) {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.limiter.memory.Shrink(c.held, bytes)
+	c.held -= bytes
+}
+
 // Release gives back the memory that is held for the request.
 func (c *Conn) Release() {
 	c.limiter.mu.Lock()
--- a/fleet/clientconn/clientconn_test.go
+++ b/fleet/clientconn/clientconn_test.go
@@ -15,6 +15,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
+
+	"plantainfield.example/fleet/blocks"
 )
 
 const (
@@ -63,11 +65,7 @@
 	if s.hold != nil {
 		<-s.hold
 	}
-	length := 0
-	for _, block := range body {
-		length += len(block)
-	}
-	_, _ = fmt.Fprint(w, length) // the client may have left
+	_, _ = fmt.Fprint(w, blocks.Length(body)) // the client may have left
 }
 
 func (s *server) dial(t *testing.T) net.Conn {
@@ -92,7 +90,7 @@
 func TestBodiesAreReadCompletely(t *testing.T) {
 	Convey("Bodies of any length arrive whole, with a length and in chunks", t, func() {
 		s := newServer(t, Limits{Connections: 10, RequestBytes: requestBytes})
-		for _, length := range []int{0, 1, firstBlockBytes - 1, firstBlockBytes, firstBlockBytes + 1, 200_000, maxBodyBytes} {
+		for _, length := range []int{0, 1, blocks.FirstBytes - 1, blocks.FirstBytes, blocks.FirstBytes + 1, 200_000, maxBodyBytes} {
 			for _, known := range []bool{true, false} {
 				body := io.Reader(strings.NewReader(strings.Repeat("x", length)))
 				if !known {
--- a/fleet/daemon/limiters.go
+++ b/fleet/daemon/limiters.go
@@ -7,6 +7,7 @@
 	"plantainfield.example/core/clientlimit"
 	"plantainfield.example/fleet/clientconn"
 	"plantainfield.example/fleet/logring"
+	"plantainfield.example/fleet/settings"
 )
 
 // requestMemoryShare is the part of the memory that clients' requests may use.
@@ -28,7 +29,10 @@
 		return clientconn.New(name, limits, log.Named(logring.InstanceLogger))
 	}
 	return &listenerLimiters{
-		callers:   limiter("callers", clientconn.Limits{Connections: parts.Clients, RequestBytes: adapter.MemoryBytes / requestMemoryShare}),
+		callers: limiter("callers", clientconn.Limits{
+			Connections: parts.Clients, RequestBytes: adapter.MemoryBytes / requestMemoryShare,
+			WriteTimeout: settings.Millis(adapter.Settings.Limits.WriteTimeoutMillis),
+		}),
 		directory: limiter("directory", clientconn.Limits{Connections: parts.Directory}),
 		ready:     limiter("ready", clientconn.Limits{Connections: parts.Operators}),
 		metrics:   limiter("metrics", clientconn.Limits{Connections: parts.Operators}),
--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -15,6 +15,7 @@
 
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/event"
+	"plantainfield.example/fleet/blocks"
 	"plantainfield.example/fleet/upstream"
 )
 
@@ -71,6 +72,9 @@
 	// continuesAfter is the ID of the last event of the earlier attempts until the
 	// current one has shown that it goes on after it.
 	continuesAfter string
+	// reservedEvent is the memory that is reserved for an event that is not complete, in
+	// bytes.
+	reservedEvent int64
 	// chargedTokens is the usage of the previous attempts, in tokens.
 	chargedTokens int64
 }
@@ -219,7 +223,7 @@
 	var err error
 	switch success := resp.StatusCode < http.StatusMultipleChoices; {
 	case x.route.Kind == config.RouteStreaming && success:
-		err = x.relayStream(resp, end.Attempt)
+		err = x.relayStream(ctx, resp, end.Attempt)
 	case x.relay.started: // this response cannot continue a stream
 		err = errNotResumed
 	default:
@@ -249,31 +253,67 @@
 // errNotResumed reports that a target did not resume a stream.
 var errNotResumed = errors.New("the target did not resume the stream")
 
-// relayBuffered reads a response completely before it sends it. The rest of a
-// response beyond maxBufferedBytes is streamed.
+// relayBuffered reads a response completely before it sends it. The rest of a response
+// beyond maxBufferedBytes, or for which there is no memory, is streamed.
 func (x *exchange) relayBuffered(resp *http.Response) error {
-	var buffered bytes.Buffer
-	n, err := io.Copy(&buffered, io.LimitReader(resp.Body, maxBufferedBytes))
+	buffered, whole, err := x.bufferResponse(resp.Body)
+	defer x.conn.Return(reservedBytes(buffered))
 	if err != nil {
 		return err
 	}
 	copyEndToEndHeaders(x.w.Header(), resp.Header)
-	if n < maxBufferedBytes {
-		x.w.Header()["Content-Length"] = []string{itoa(n)}
+	if whole {
+		x.w.Header()["Content-Length"] = []string{itoa(blocks.Length(buffered))}
 	}
 	x.relay.started = true
 	x.w.WriteHeader(resp.StatusCode)
-	if _, err = x.w.Write(buffered.Bytes()); err != nil || n < maxBufferedBytes {
+	if err = blocks.Write(x.w, buffered); err != nil || whole {
 		return err
 	}
 	_, err = io.Copy(x.w, resp.Body)
 	return err
 }
 
+// bufferResponse reads the beginning of a response, and reports whether that is all of
+// it. Its first block costs no more than what each connection may use; the others are
+// reserved.
+func (x *exchange) bufferResponse(body io.Reader) (buffered [][]byte, whole bool, err error) {
+	size := int64(blocks.FirstBytes)
+	for read := int64(0); read < maxBufferedBytes; size = blocks.NextBytes(size) {
+		size = min(size, maxBufferedBytes-read)
+		if read > 0 && !x.conn.Reserve(size) {
+			return buffered, false, nil
+		}
+		block := make([]byte, size)
+		n, err := blocks.Fill(body, block)
+		buffered = append(buffered, block[:n])
+		read += int64(n)
+		if err == io.EOF {
+			return buffered, true, nil
+		}
+		if err != nil {
+			return buffered, false, err
+		}
+	}
+	return buffered, false, nil
+}
+
+// reservedBytes returns what bufferResponse has reserved for a response.
+func reservedBytes(buffered [][]byte) int64 {
+	reserved := int64(0)
+	for i, block := range buffered {
+		if i > 0 {
+			reserved += int64(cap(block))
+		}
+	}
+	return reserved
+}
+
 // relayStream relays the events of a stream as they arrive.
-func (x *exchange) relayStream(resp *http.Response, attempt string) error {
+func (x *exchange) relayStream(ctx context.Context, resp *http.Response, attempt string) error {
 	buffer := make([]byte, readBufferBytes)
 	x.relay.events.partial = nil // drop the partial event of an earlier attempt
+	x.returnEvent()
 	if x.relay.started && !mayContinueStream(resp) {
 		return errNotResumed
 	}
@@ -281,7 +321,7 @@
 	for first := true; ; {
 		n, err := resp.Body.Read(buffer)
 		if n > 0 {
-			events, werr := x.relayChunk(resp, buffer[:n])
+			events, werr := x.relayChunk(ctx, resp, buffer[:n])
 			if events && first {
 				first = false
 				x.poster.Post(event.Event{FirstToken: &event.FirstToken{Attempt: attempt}})
@@ -301,12 +341,15 @@
 
 // relayChunk relays the complete events of a stream after a chunk has arrived, and
 // reports whether there were any.
-func (x *exchange) relayChunk(resp *http.Response, chunk []byte) (bool, error) {
+func (x *exchange) relayChunk(ctx context.Context, resp *http.Response, chunk []byte) (bool, error) {
 	if !x.relay.started {
 		x.server.metrics.observeFirstEvent(x.route, x.arrived)
 		x.beginStream(resp)
 	}
 	x.relay.recordChunk(x.arrived)
+	if err := x.reserveEvent(ctx, len(chunk)); err != nil {
+		return false, err
+	}
 	events := x.relay.events
 	complete := x.relay.events.add(chunk)
 	if len(x.relay.events.partial) > maxEventBytes {
@@ -324,7 +367,37 @@
 	if _, err := x.w.Write(complete); err != nil {
 		return true, err
 	}
-	return true, http.NewResponseController(x.w).Flush()
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
+		return true, err
+	}
+	x.returnEvent()
+	return true, nil
+}
+
+// reserveEvent reserves the memory of a long event that is not complete and goes on
+// with a number of bytes. It waits until there is some, so that its target waits too.
+func (x *exchange) reserveEvent(ctx context.Context, more int) error {
+	length := int64(len(x.relay.events.partial) + more)
+	held := eventCopies * length
+	if length <= readBufferBytes || held <= x.relay.reservedEvent {
+		return nil
+	}
+	if err := x.conn.AwaitReserve(ctx, held-x.relay.reservedEvent); err != nil {
+		return err
+	}
+	x.relay.reservedEvent = held
+	return nil
+}
+
+// eventCopies is how often a long event is held while it grows.
+const eventCopies = 2
+
+// returnEvent gives back the memory of an event that has been sent.
+func (x *exchange) returnEvent() {
+	if x.relay.reservedEvent > 0 {
+		x.conn.Return(x.relay.reservedEvent)
+		x.relay.reservedEvent = 0
+	}
 }
 
 // mayContinueStream reports whether a successful response can be the rest of a stream
--- a/fleet/gateway/event_buffer.go
+++ b/fleet/gateway/event_buffer.go
@@ -24,15 +24,15 @@
 )
 
 // add appends the next bytes of the stream and returns the data up to the end
-// of the last complete event. The result is a copy.
+// of the last complete event. The result is the caller's.
 func (e *eventBuffer) add(chunk []byte) []byte {
 	e.partial = append(e.partial, chunk...)
 	end := completeLength(e.partial)
 	if end == 0 {
 		return nil
 	}
-	complete := bytes.Clone(e.partial[:end])
-	e.partial = append(e.partial[:0], e.partial[end:]...)
+	complete := e.partial[:end:end]
+	e.partial = bytes.Clone(e.partial[end:])
 	e.scan(complete)
 	return complete
 }
--- a/fleet/upstream/exchange.go
+++ b/fleet/upstream/exchange.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"plantainfield.example/fleet/blocks"
 )
 
 // exchange is one request and its response on a connection.
@@ -95,10 +97,10 @@
 // the background, because a target may respond before it has read all of the
 // body.
 func (x *exchange) write(req *http.Request, body [][]byte) error {
-	req.ContentLength = totalLength(body)
+	req.ContentLength = blocks.Length(body)
 	background := req.ContentLength > backgroundWriteBytes
 	if !background && req.ContentLength > 0 {
-		req.Body = io.NopCloser(newBlockReader(body))
+		req.Body = io.NopCloser(blocks.NewReader(body))
 	}
 	if !background {
 		return x.writeAll(req)
@@ -111,37 +113,10 @@
 		return err
 	}
 	x.bodyWriteResult = make(chan error, 1)
-	go func() { x.bodyWriteResult <- x.writeBlocks(body) }()
-	return nil
-}
-
-func (x *exchange) writeBlocks(body [][]byte) error {
-	for _, block := range body {
-		if _, err := x.conn.Write(block); err != nil {
-			return err
-		}
-	}
+	go func() { x.bodyWriteResult <- blocks.Write(x.conn, body) }()
 	return nil
 }
 
-// totalLength returns the length of a body in blocks.
-func totalLength(body [][]byte) int64 {
-	length := int64(0)
-	for _, block := range body {
-		length += int64(len(block))
-	}
-	return length
-}
-
-// newBlockReader returns a reader of a body in blocks.
-func newBlockReader(body [][]byte) io.Reader {
-	readers := make([]io.Reader, len(body))
-	for i, block := range body {
-		readers[i] = bytes.NewReader(block)
-	}
-	return io.MultiReader(readers...)
-}
-
 func (x *exchange) writeAll(req *http.Request) error {
 	w := bufio.NewWriterSize(x.conn, backgroundWriteBytes+readBufferBytes)
 	if err := req.Write(w); err != nil {
