--- a/bench/callerstest/process_test.go
+++ b/bench/callerstest/process_test.go
@@ -13,10 +13,11 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"plantainfield.example/bench/crowd"
+	"plantainfield.example/fleet/settings"
 )
 
 const (
-	// memoryBound is the largest memory of a process with the default limits.
+	// memoryBound is the memory that a process may use.
 	memoryBound = 192 << 20
 	// crowdSize clients with a body of the largest legal size hold twice that.
 	crowdSize   = 100
@@ -36,7 +37,7 @@
 }
 
 func newProcess(t *testing.T) *routerProcess {
-	p := &routerProcess{fixture: newStandins(t, options{}), exited: make(chan struct{})}
+	p := &routerProcess{fixture: newStandins(t, options{limits: func(l *settings.Limits) { l.MemoryBytes = memoryBound }}), exited: make(chan struct{})}
 	dir := t.TempDir()
 	program, settingsPath := filepath.Join(dir, "plantainfieldd"), filepath.Join(dir, "settings.json")
 	out, err := exec.Command("go", "build", "-o", program, "plantainfield.example/fleet/cmd/plantainfieldd").CombinedOutput()
--- a/fleet/admin/admin.go
+++ b/fleet/admin/admin.go
@@ -3,8 +3,10 @@
 package admin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -17,7 +19,9 @@
 	"plantainfield.example/core/audit"
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/node"
 	"plantainfield.example/fleet/apierror"
+	"plantainfield.example/fleet/clientconn"
 	"plantainfield.example/fleet/platform"
 	"plantainfield.example/fleet/runtime"
 )
@@ -36,11 +40,13 @@
 	loop     *runtime.Loop
 	platform *platform.Client
 	registry *prometheus.Registry
+	// clients returns what the callers' connections use.
+	clients func() clientconn.Usage
 }
 
-// New returns a Server.
-func New(loop *runtime.Loop, client *platform.Client, registry *prometheus.Registry) *Server {
-	return &Server{loop: loop, platform: client, registry: registry}
+// New returns a Server. clients returns what the callers' connections use.
+func New(loop *runtime.Loop, client *platform.Client, registry *prometheus.Registry, clients func() clientconn.Usage) *Server {
+	return &Server{loop: loop, platform: client, registry: registry, clients: clients}
 }
 
 // Handler returns the HTTP handler for all routes.
@@ -75,7 +81,14 @@
 	if err != nil {
 		return
 	}
-	writeJSON(w, http.StatusOK, d)
+	writeJSON(w, http.StatusOK, Dump{d, s.clients()})
+}
+
+// Dump is the state dump of an instance.
+type Dump struct {
+	node.Dump
+	// Clients is what the callers' connections use.
+	Clients clientconn.Usage `json:"clients"`
 }
 
 // query posts the event that makeEvent builds for a new handle and returns the
@@ -128,12 +141,13 @@
 }
 
 func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxDocumentBytes))
+	body, err := readDocument(w, r)
 	if err != nil {
 		w.Header().Set("Connection", "close")
-		apierror.WriteError(w, apierror.ReadError(err))
+		apierror.WriteError(w, err)
 		return
 	}
+	defer clientconn.ReleaseRequest(r)
 	op := r.Header.Get(HeaderOperationID)
 	if op == "" {
 		op = uuid.NewString()
@@ -154,6 +168,25 @@
 	writeJSON(w, status, response)
 }
 
+// documentCopies is how often a configuration file is held at most while it is read.
+const documentCopies = 2
+
+// readDocument reads a configuration file within the limits on size and memory.
+func readDocument(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	conn, err := clientconn.OfRequest(r)
+	if err != nil {
+		return nil, err
+	}
+	document, err := conn.ReadBody(http.MaxBytesReader(w, r.Body, MaxDocumentBytes), r.ContentLength, documentCopies)
+	if errors.Is(err, clientconn.ErrNoMemory) {
+		return nil, apierror.New(errkind.MemoryExhausted, "")
+	}
+	if err != nil {
+		return nil, apierror.ReadError(err)
+	}
+	return bytes.Join(document, nil), nil
+}
+
 // audit compares the ledger with the bills that are stored on the platform.
 func (s *Server) audit(w http.ResponseWriter, r *http.Request) {
 	ledgers, _, ledgerErr := s.platform.List(r.Context(), event.KindLedger)
--- a/fleet/callers/chat.go
+++ b/fleet/callers/chat.go
@@ -9,6 +9,7 @@
 	"plantainfield.example/core/event"
 	"plantainfield.example/fleet/apierror"
 	"plantainfield.example/fleet/engine"
+	"plantainfield.example/fleet/settings"
 )
 
 // chatRequest holds the fields of a chat completion request that the router
@@ -31,7 +32,7 @@
 		apierror.WriteError(w, err)
 		return
 	}
-	body, err := s.readBody(w, r)
+	body, err := s.readBody(w, r, settings.ChatCopies)
 	if err != nil {
 		apierror.WriteError(w, err)
 		return
--- a/fleet/callers/server.go
+++ b/fleet/callers/server.go
@@ -21,6 +21,7 @@
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/fleet/apierror"
+	"plantainfield.example/fleet/clientconn"
 	"plantainfield.example/fleet/engine"
 	"plantainfield.example/fleet/settings"
 )
@@ -109,6 +110,7 @@
 			apierror.Write(w, apierror.BodyOf(errkind.TooManyStreams, "", "", 0))
 			return
 		}
+		defer clientconn.ReleaseRequest(r)
 		next(w, r)
 	}
 }
--- a/fleet/callers/service.go
+++ b/fleet/callers/service.go
@@ -12,6 +12,7 @@
 	"plantainfield.example/core/event"
 	"plantainfield.example/fleet/apierror"
 	"plantainfield.example/fleet/engine"
+	"plantainfield.example/fleet/settings"
 )
 
 const (
@@ -41,7 +42,7 @@
 		apierror.Write(w, apierror.BodyOf(errkind.UnknownService, "", "", 0))
 		return
 	}
-	body, err := s.readBody(w, r)
+	body, err := s.readBody(w, r, settings.ServiceCopies)
 	if err != nil {
 		apierror.WriteError(w, err)
 		return
--- a/fleet/clientconn/body.go
+++ b/fleet/clientconn/body.go
@@ -19,6 +19,9 @@
 // it for long is dropped; its ReadBody returns ErrNoMemory. The body is counted until
 // Release.
 func (c *Conn) ReadBody(r io.Reader, length int64, copies int64) ([][]byte, error) {
+	if length*copies > c.limiter.limits.RequestBytes {
+		return nil, ErrNoMemory
+	}
 	c.setPhase(clientlimit.Receiving)
 	size := int64(blocks.FirstBytes)
 	for remaining := length; remaining != 0; size = blocks.NextBytes(size) {
@@ -119,7 +122,9 @@
 		return nil, ErrNoMemory
 	}
 	c.phase, c.since = clientlimit.Running, c.limiter.now()
-	return c.blocks, nil
+	body := c.blocks
+	c.blocks = nil
+	return body, nil
 }
 
 // Reserve counts memory for the request, and reports whether there is any left. Nothing
--- a/fleet/clientconn/limiter.go
+++ b/fleet/clientconn/limiter.go
@@ -175,6 +175,14 @@
 	return nil, errors.New("the request's connection is not limited")
 }
 
+// ReleaseRequest gives back the memory that is held for a request, if its connection is
+// limited.
+func ReleaseRequest(r *http.Request) {
+	if c, err := OfRequest(r); err == nil {
+		c.Release()
+	}
+}
+
 // ConnState is a ConnState function of an http.Server.
 func (l *Limiter) ConnState(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*Conn)
@@ -221,8 +229,8 @@
 	phase  clientlimit.Phase
 	since  time.Duration
 	served bool
-	// held is the memory that is held for the request, and blocks the part of it that
-	// holds its body. gaveWay is set once the body was dropped.
+	// held is the memory that is held for the request, and blocks what has arrived of its
+	// body until that is complete. gaveWay is set once the body was dropped.
 	held    int64
 	blocks  [][]byte
 	gaveWay bool
--- a/fleet/cmd/plantainfieldd/hosted.go
+++ b/fleet/cmd/plantainfieldd/hosted.go
@@ -58,8 +58,8 @@
 			log.Error("settings not reloaded", zap.Error(err))
 			continue
 		}
-		daemon.SetMemoryLimit(s.MemoryBytes)
-		log.Info("settings reloaded", zap.Int64("memory_bytes", s.MemoryBytes))
+		daemon.SetMemoryLimit(s.Limits.MemoryBytes)
+		log.Info("settings reloaded", zap.Int64("memory_bytes", s.Limits.MemoryBytes))
 	}
 }
 
--- a/fleet/daemon/daemon.go
+++ b/fleet/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
@@ -20,6 +21,7 @@
 	"plantainfield.example/core/node"
 	"plantainfield.example/fleet/admin"
 	"plantainfield.example/fleet/callers"
+	"plantainfield.example/fleet/clientconn"
 	"plantainfield.example/fleet/engine"
 	"plantainfield.example/fleet/peers"
 	"plantainfield.example/fleet/platform"
@@ -29,6 +31,7 @@
 
 // New returns the application of one instance.
 func New(s *settings.Settings, log *zap.Logger) *fx.App {
+	SetMemoryLimit(s.Limits.MemoryBytes)
 	return fx.New(
 		fx.Supply(s, log),
 		fx.WithLogger(func() fxevent.Logger {
@@ -37,7 +40,7 @@
 		fx.StopTimeout(settings.Millis(s.Limits.StopTimeoutMillis)+stopMargin),
 		fx.Provide(
 			newIdentity, newLoop, newPlatformClient, engine.NewClient, newPeerServer, newPeerSender,
-			newCallers, newMetrics, admin.New,
+			newCallers, newLimiters, newMetrics, newAdmin,
 		),
 		// Stop hooks run in reverse order: the workers stop gracefully before
 		// the listeners close.
@@ -75,6 +78,10 @@
 	return callers.New(loop, client, s, log)
 }
 
+func newAdmin(loop *runtime.Loop, client *platform.Client, registry *prometheus.Registry, limiters *listenerLimiters) *admin.Server {
+	return admin.New(loop, client, registry, limiters.callers.Usage)
+}
+
 // workerParams are the dependencies of the background workers.
 type workerParams struct {
 	fx.In
@@ -130,6 +137,7 @@
 	Settings   *settings.Settings
 	Callers    *callers.Server
 	Admin      *admin.Server
+	Limiters   *listenerLimiters
 	Peers      *grpc.Server
 	Log        *zap.Logger
 }
@@ -149,8 +157,12 @@
 		ReadTimeout: settings.Millis(limits.ReadTimeoutMillis), IdleTimeout: settings.Millis(limits.IdleTimeoutMillis),
 		WriteTimeout: settings.Millis(limits.ReadTimeoutMillis+limits.WriteTimeoutMillis) + adminHandlerTime, ErrorLog: errorLog,
 	}
-	serve := func(name, address string, run func(net.Listener) error) error {
-		l, err := net.Listen("tcp", address)
+	limiters := p.Limiters
+	for limiter, s := range map[*clientconn.Limiter]*http.Server{limiters.callers: callerServer, limiters.admin: adminServer} {
+		s.ConnContext, s.ConnState = clientconn.ConnContext, limiter.ConnState
+	}
+	serve := func(name, address string, limiter *clientconn.Limiter, run func(net.Listener) error) error {
+		l, err := limiter.Listen(context.Background(), address)
 		if err != nil {
 			return err
 		}
@@ -166,9 +178,9 @@
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			return errors.Join(
-				serve("callers", p.Settings.Callers.Address, callerServer.Serve),
-				serve("peers", p.Settings.Peers.Address, p.Peers.Serve),
-				serve("admin", p.Settings.Admin.Address, adminServer.Serve),
+				serve("callers", p.Settings.Callers.Address, limiters.callers, callerServer.Serve),
+				serve("peers", p.Settings.Peers.Address, limiters.peers, p.Peers.Serve),
+				serve("admin", p.Settings.Admin.Address, limiters.admin, adminServer.Serve),
 			)
 		},
 	})
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -39,10 +39,6 @@
 	// DirectoryAddress, ReadyAddress and MetricsAddress are the IP:port of
 	// further listeners.
 	DirectoryAddress, ReadyAddress, MetricsAddress string
-	// MemoryBytes is the maximum memory of the process.
-	MemoryBytes int64
-	// Sockets is the maximum number of sockets of the process.
-	Sockets int
 	// MaxObjectBytes is the largest size of an object that the platform stores, or 0
 	// if it is not known.
 	MaxObjectBytes int
@@ -82,7 +78,7 @@
 
 // NewHosted returns the application of one instance that runs on a platform.
 func NewHosted(adapter *PlatformAdapter, log *zap.Logger) *fx.App {
-	SetMemoryLimit(adapter.MemoryBytes)
+	SetMemoryLimit(adapter.Settings.Limits.MemoryBytes)
 	return fx.New(
 		fx.Supply(adapter, adapter.Settings, log),
 		fx.WithLogger(func() fxevent.Logger {
@@ -130,13 +126,13 @@
 
 func newUpstream(adapter *PlatformAdapter) *upstream.Client {
 	client := upstream.NewClient(adapter.AttemptIDHeader, adapter.DialTarget)
-	client.SetMaxIdle(adapter.connections().IdleTargets)
+	client.SetMaxIdle(connections(adapter.Settings).IdleTargets)
 	return client
 }
 
 func newGateway(adapter *PlatformAdapter, loop *runtime.Loop, targets *upstream.Client, log *zap.Logger) *gateway.Server {
 	peerClient := upstream.NewPeerClient(adapter.AttemptIDHeader)
-	peerClient.SetMaxIdle(adapter.connections().IdlePeers)
+	peerClient.SetMaxIdle(connections(adapter.Settings).IdlePeers)
 	return gateway.New(loop, targets, peerClient, adapter.Protocol, adapter.Settings, log)
 }
 
--- a/fleet/daemon/limiters.go
+++ b/fleet/daemon/limiters.go
@@ -10,40 +10,53 @@
 	"plantainfield.example/fleet/settings"
 )
 
-// requestMemoryShare is the part of the memory that clients' requests may use.
-const requestMemoryShare = 4
-
-// listenerLimiters bound the connections of each listener.
+// listenerLimiters bound the connections of each listener. directory, ready and metrics
+// only exist on a platform, admin only without one.
 type listenerLimiters struct {
-	callers, directory, ready, metrics, peers *clientconn.Limiter
+	callers, directory, ready, metrics, admin, peers *clientconn.Limiter
 }
 
 // connections returns how the sockets of the process are divided.
-func (a *PlatformAdapter) connections() clientlimit.Connections {
-	return clientlimit.DivideConnections(a.MemoryBytes, a.Sockets)
+func connections(s *settings.Settings) clientlimit.Connections {
+	return clientlimit.DivideConnections(s.Limits.MemoryBytes, s.Limits.MaxSockets)
 }
 
+// newHostedLimiters returns the limiters of an instance on a platform.
 func newHostedLimiters(adapter *PlatformAdapter, log *zap.Logger) *listenerLimiters {
-	parts := adapter.connections()
-	limiter := func(name string, limits clientconn.Limits) *clientconn.Limiter {
-		return clientconn.New(name, limits, log.Named(logring.InstanceLogger))
+	log = log.Named(logring.InstanceLogger)
+	limits, parts := adapter.Settings.Limits, connections(adapter.Settings)
+	return &listenerLimiters{
+		callers: clientconn.New("callers", clientconn.Limits{
+			Connections: parts.Clients, RequestBytes: limits.RequestBytes(), WriteTimeout: settings.Millis(limits.WriteTimeoutMillis),
+		}, log),
+		directory: clientconn.New("directory", clientconn.Limits{Connections: parts.Directory}, log),
+		ready:     clientconn.New("ready", clientconn.Limits{Connections: parts.Operators}, log),
+		metrics:   clientconn.New("metrics", clientconn.Limits{Connections: parts.Operators}, log),
+		peers:     newPeerLimiter(parts, log),
 	}
+}
+
+// newLimiters returns the limiters of an instance with its own interface. Its handlers
+// set the time-outs of writes.
+func newLimiters(s *settings.Settings, log *zap.Logger) *listenerLimiters {
+	parts := connections(s)
 	return &listenerLimiters{
-		callers: limiter("callers", clientconn.Limits{
-			Connections: parts.Clients, RequestBytes: adapter.MemoryBytes / requestMemoryShare,
-			WriteTimeout: settings.Millis(adapter.Settings.Limits.WriteTimeoutMillis),
-		}),
-		directory: limiter("directory", clientconn.Limits{Connections: parts.Directory}),
-		ready:     limiter("ready", clientconn.Limits{Connections: parts.Operators}),
-		metrics:   limiter("metrics", clientconn.Limits{Connections: parts.Operators}),
-		peers:     limiter("peers", clientconn.Limits{Connections: parts.Peers, TracksReads: true}),
+		callers: clientconn.New("callers", clientconn.Limits{Connections: parts.Clients, RequestBytes: s.Limits.RequestBytes()}, log),
+		admin:   clientconn.New("admin", clientconn.Limits{Connections: parts.Operators, RequestBytes: s.Limits.RequestBytes()}, log),
+		peers:   newPeerLimiter(parts, log),
 	}
 }
 
+func newPeerLimiter(parts clientlimit.Connections, log *zap.Logger) *clientconn.Limiter {
+	return clientconn.New("peers", clientconn.Limits{Connections: parts.Peers, TracksReads: true}, log)
+}
+
 func (l *listenerLimiters) collectors() []prometheus.Collector {
 	var all []prometheus.Collector
-	for _, limiter := range []*clientconn.Limiter{l.callers, l.directory, l.ready, l.metrics, l.peers} {
-		all = append(all, limiter.Collectors()...)
+	for _, limiter := range []*clientconn.Limiter{l.callers, l.directory, l.ready, l.metrics, l.admin, l.peers} {
+		if limiter != nil {
+			all = append(all, limiter.Collectors()...)
+		}
 	}
 	return all
 }
--- a/fleet/daemon/metrics.go
+++ b/fleet/daemon/metrics.go
@@ -24,10 +24,11 @@
 // activeRequestCounter reports the number of requests in progress.
 type activeRequestCounter interface{ ActiveRequests() int64 }
 
-func newMetrics(loop *runtime.Loop, server *callers.Server) *prometheus.Registry {
+func newMetrics(loop *runtime.Loop, server *callers.Server, limiters *listenerLimiters) *prometheus.Registry {
 	r := prometheus.NewRegistry()
 	r.MustRegister(newCollector(loop, server), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	r.MustRegister(server.Collectors()...)
+	r.MustRegister(limiters.collectors()...)
 	return r
 }
 
--- a/fleet/settings/settings.go
+++ b/fleet/settings/settings.go
@@ -59,7 +59,15 @@
 
 // Limits bounds requests, responses and the graceful stop.
 type Limits struct {
-	// MaxBodyBytes is the maximum size of a request body, in bytes.
+	// MemoryBytes is the memory that the process may use, in bytes. A quarter of it is for
+	// requests of callers, and each connection of a caller needs 192 KiB of it. On a
+	// platform, its settings state the memory.
+	MemoryBytes int64 `json:"memoryBytes" min:"67108864" max:"1099511627776"`
+	// MaxSockets is the maximum number of sockets of the process. A quarter of them is for
+	// connections of callers. On a platform, its settings state the descriptors.
+	MaxSockets int `json:"maxSockets" min:"300" max:"1000000"`
+	// MaxBodyBytes is the maximum size of a request body, in bytes. A chat request of this
+	// size, which is held several times, must fit into a quarter of the memory.
 	MaxBodyBytes int `json:"maxBodyBytes" min:"1024" max:"67108864"`
 	// MaxHeaderBytes is the maximum size of the request headers, in bytes.
 	MaxHeaderBytes int `json:"maxHeaderBytes" min:"1024" max:"1048576"`
@@ -87,6 +95,19 @@
 	StopTimeoutMillis int `json:"stopTimeoutMillis" min:"10" max:"3600000"`
 }
 
+// ChatCopies and ServiceCopies are how often the body of a request is held at most while
+// it is read, changed and sent on.
+const (
+	ChatCopies    = 6
+	ServiceCopies = 2
+)
+
+// requestMemoryShare is the part of the memory that callers' requests may use.
+const requestMemoryShare = 4
+
+// RequestBytes returns the memory that callers' requests may use, in bytes.
+func (l Limits) RequestBytes() int64 { return l.MemoryBytes / requestMemoryShare }
+
 // Millis returns a duration of n milliseconds.
 func Millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
@@ -96,7 +117,7 @@
 		Platform:     Platform{TimeoutMillis: 1000, FleetCallsPerSecond: 600},
 		LedgerShards: 4,
 		Limits: Limits{
-			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 32 << 10, MaxStreams: 2000, MaxWorkWaitMillis: 30,
+			MemoryBytes: 512 << 20, MaxSockets: 16_384, MaxBodyBytes: 4 << 20, MaxHeaderBytes: 32 << 10, MaxStreams: 2000, MaxWorkWaitMillis: 30,
 			ReadTimeoutMillis: 10_000, WriteTimeoutMillis: 20_000, IdleTimeoutMillis: 60_000, TargetSilenceMillis: 120_000, StopTimeoutMillis: 60_000,
 		},
 		LogLevel: "info",
@@ -153,6 +174,9 @@
 			add(a.at, "must be IP:port")
 		}
 	}
+	if need := int64(s.Limits.MaxBodyBytes) * ChatCopies; need > s.Limits.RequestBytes() {
+		add("$.limits.maxBodyBytes", fmt.Sprintf("needs memoryBytes of %d at least", need*requestMemoryShare))
+	}
 	if len(s.PeerKey) < minPeerKeyLength {
 		add("$.peerKey", fmt.Sprintf("must have at least %d characters", minPeerKeyLength))
 	}
