--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -246,7 +246,7 @@
 	metrics.Handle("/metrics", promhttp.HandlerFor(hostedRegistry(p), promhttp.HandlerOpts{}))
 	limiters := p.Limiters
 	servers := map[*clientconn.Limiter]*http.Server{
-		limiters.callers:   {Addr: p.Adapter.Settings.Callers.Address, Handler: p.Gateway, MaxHeaderBytes: limits.MaxHeaderBytes},
+		limiters.callers:   {Addr: p.Adapter.Settings.Callers.Address, Handler: p.Gateway},
 		limiters.directory: {Addr: p.Adapter.DirectoryAddress, Handler: p.Adapter.DirectoryHandler(p.Addresses)},
 		limiters.ready:     {Addr: p.Adapter.ReadyAddress, Handler: p.Adapter.ReadyHandler(p.Gateway.Ready)},
 		limiters.metrics:   {Addr: p.Adapter.MetricsAddress, Handler: metrics},
@@ -270,6 +270,7 @@
 			var failed error
 			for limiter, s := range servers {
 				s.ConnContext, s.ConnState = clientconn.ConnContext, limiter.ConnState
+				s.MaxHeaderBytes = limits.MaxHeaderBytes
 				s.ReadHeaderTimeout, s.IdleTimeout = settings.Millis(limits.ReadTimeoutMillis), settings.Millis(limits.IdleTimeoutMillis)
 				s.ErrorLog = errorLog
 				failed = errors.Join(failed, serve(s.Addr, limiter, s.Serve))
