--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -96,6 +96,7 @@
 		}
 		So(OtherPeerMayServe(errkind.NotReady), ShouldBeTrue)
 		So(OtherPeerMayServe(errkind.InstanceOverloaded), ShouldBeTrue)
+		So(OtherPeerMayServe(errkind.MemoryExhausted), ShouldBeTrue)
 		So(PassOnRefusal(errkind.RanNo, true), ShouldBeFalse)
 		So(PassOnRefusal(errkind.RanNo, false), ShouldBeTrue)
 		So(PassOnRefusal(errkind.RanUnknown, true), ShouldBeTrue)
