--- a/fleet/peers/peers.go
+++ b/fleet/peers/peers.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 
 	"plantainfield.example/core/event"
 	"plantainfield.example/fleet/peers/peerpb"
@@ -51,15 +52,15 @@
 
 // NewServer returns a gRPC server that posts messages from peers to the loop.
 func NewServer(loop *runtime.Loop, peerKey string) *grpc.Server {
-	check := func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
-		md, _ := metadata.FromIncomingContext(ctx)
-		keys := md.Get(metadataKey)
+	// The key is checked before the message is read.
+	check := func(ctx context.Context, info *tap.Info) (context.Context, error) {
+		keys := info.Header.Get(metadataKey)
 		if len(keys) != 1 || subtle.ConstantTimeCompare([]byte(keys[0]), []byte(peerKey)) != 1 {
-			return nil, status.Error(codes.Unauthenticated, "peer_unauthenticated")
+			return ctx, status.Error(codes.Unauthenticated, "peer_unauthenticated")
 		}
-		return next(ctx, req)
+		return ctx, nil
 	}
-	g := grpc.NewServer(grpc.UnaryInterceptor(check), grpc.MaxRecvMsgSize(maxMessageBytes),
+	g := grpc.NewServer(grpc.InTapHandle(check), grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxConcurrentStreams(maxPeerStreams), grpc.ConnectionTimeout(sendTimeout),
 		grpc.MaxHeaderListSize(maxHeaderBytes), grpc.KeepaliveParams(keepalive.ServerParameters{
 			MaxConnectionIdle: maxConnectionIdle, Time: probePeriod, Timeout: probeTimeout,
--- a/fleet/peers/peers_test.go
+++ b/fleet/peers/peers_test.go
@@ -150,3 +150,22 @@
 		}
 	})
 }
+
+func TestSenderWithoutTheKeyIsRejectedBeforeItsMessage(t *testing.T) {
+	// Guards against messages of strangers that are held until they are complete.
+	Convey("A sender without the key is rejected although none of its message has arrived", t, func() {
+		server := NewServer(runtime.NewLoop(node.Settings{Name: "a", LedgerShards: 1}), sharedKey)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		go func() { _ = server.Serve(l) }()
+		defer server.Stop()
+		conn, err := grpc.NewClient(l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		stream, err := conn.NewStream(ctx, &grpc.StreamDesc{ClientStreams: true}, peerpb.Peer_Deliver_FullMethodName)
+		So(err, ShouldBeNil)
+		So(status.Code(stream.RecvMsg(&peerpb.Receipt{})), ShouldEqual, codes.Unauthenticated)
+	})
+}
