--- a/core/clientlimit/clientlimit.go
+++ b/core/clientlimit/clientlimit.go
@@ -19,7 +19,7 @@
 	Running
 	// Sending means that the client does not take a part of its response.
 	Sending
-	// Closing means that the last response has been sent.
+	// Closing means that the connection ends with the response that is sent.
 	Closing
 )
 
@@ -38,6 +38,9 @@
 // in favour of another.
 const patience = time.Second
 
+// deliveryTime is how long the last response on a connection has to reach its client.
+const deliveryTime = 100 * time.Millisecond
+
 // Order in which clients are disconnected to make room for a new connection.
 const (
 	abandoned = iota
@@ -53,7 +56,7 @@
 func connectionOrder(c Client) int {
 	late := c.Age >= patience
 	switch {
-	case c.Phase == Closing:
+	case c.Phase == Closing && c.Age >= deliveryTime:
 		return abandoned
 	case c.Phase == Waiting && !c.Served && late:
 		return silent
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -203,18 +203,28 @@
 		s.log.Warn("response waits for the body", zap.Error(err))
 	}
 	if kind == errkind.SlowSender || kind == errkind.MemoryExhausted {
-		w.Header().Set("Connection", "close")
+		closeAfterResponse(w, r)
 		s.setReadDeadline(w, time.Now())
 		return
 	}
 	s.setReadDeadline(w, time.Now().Add(restTimeout))
 }
 
+// closeAfterResponse makes the connection end with the response.
+func closeAfterResponse(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Connection", "close")
+	if conn, err := clientconn.OfRequest(r); err == nil {
+		conn.SetClosing()
+	}
+}
+
 // refuseEarly sends an error response to a request that is not passed to the
 // core.
 func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, kind errkind.Kind, arrived time.Time, detail string) {
 	after := time.Duration(errkind.Lookup(kind).RetryAfterSeconds) * time.Second
-	s.log.Info("request refused", zap.String("kind", string(kind)), zap.Duration("age", time.Since(arrived)), zap.String("host", r.Host), zap.String("path", r.URL.Path), zap.String("detail", detail))
+	if kind != errkind.MemoryExhausted { // which clientconn logs, at a bounded rate
+		s.log.Info("request refused", zap.String("kind", string(kind)), zap.Duration("age", time.Since(arrived)), zap.String("host", r.Host), zap.String("path", r.URL.Path), zap.String("detail", detail))
+	}
 	s.writeRefusal(w, r, Refusal{Kind: kind, Ran: errkind.RanNo, RetryAfter: after})
 }
 
@@ -229,7 +239,7 @@
 // closed, so that its memory is free and the caller's next request may go to another
 // instance. admission logs how many requests are refused.
 func (s *Server) refuseOverloaded(w http.ResponseWriter, r *http.Request, retryAfter time.Duration) {
-	w.Header().Set("Connection", "close")
+	closeAfterResponse(w, r)
 	s.writeRefusal(w, r, Refusal{Kind: errkind.InstanceOverloaded, Ran: errkind.RanNo, RetryAfter: retryAfter})
 }
 
