--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -125,7 +125,7 @@
 // handleTargetResponse relays the response of a target.
 func (x *exchange) handleTargetResponse(ctx context.Context, resp *http.Response, result *attemptResult) examination {
 	body := &trackedBody{ReadCloser: resp.Body}
-	if isUnframed(resp) {
+	if upstream.IsUnframed(resp) {
 		body.checkTarget = func() error { return x.checkTargetLives(ctx, result.dispatch.Address) }
 	}
 	resp.Body = body
--- a/fleet/gateway/examination.go
+++ b/fleet/gateway/examination.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -55,11 +54,6 @@
 	return zap.Strings("parts", ids)
 }
 
-// isUnframed reports whether only the end of the connection ends a response.
-func isUnframed(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // errTargetEnded reports that a response without framing ended because its target
 // did.
 var errTargetEnded = errors.New("the target ended during an answer without length or chunks")
--- a/fleet/upstream/exchange.go
+++ b/fleet/upstream/exchange.go
@@ -22,9 +22,9 @@
 	// stopCancelWatch stops watching the request's context. It returns false if
 	// the context has already ended.
 	stopCancelWatch func() bool
-	// bodyWriteResult receives the result of writing a body in the background.
-	// It is nil if the body was written together with the header.
-	bodyWriteResult chan error
+	// upload is the writing of a body in the background, or nil if the body was written
+	// together with the header.
+	upload *upload
 	// headRead is set once the head of the response is read, and interrupted once
 	// the request's context has ended. They are guarded by mu.
 	mu                    sync.Mutex
@@ -112,11 +112,21 @@
 	if _, err := x.conn.Write(head); err != nil {
 		return err
 	}
-	x.bodyWriteResult = make(chan error, 1)
-	go func() { x.bodyWriteResult <- blocks.Write(x.conn, body) }()
+	x.upload = &upload{done: make(chan struct{})}
+	go func() {
+		defer close(x.upload.done)
+		x.upload.err = blocks.Write(x.conn, body)
+	}()
 	return nil
 }
 
+// upload is the writing of a body in the background.
+type upload struct {
+	// done is closed once the writing has ended. err is its error, and set before.
+	done chan struct{}
+	err  error
+}
+
 func (x *exchange) writeAll(req *http.Request) error {
 	w := bufio.NewWriterSize(x.conn, backgroundWriteBytes+readBufferBytes)
 	if err := req.Write(w); err != nil {
@@ -227,28 +237,53 @@
 // bodyWritten reports whether the whole request body has been written to the
 // connection.
 func (x *exchange) bodyWritten() bool {
-	if x.bodyWriteResult == nil {
+	if x.upload == nil {
 		return true
 	}
 	select {
-	case err := <-x.bodyWriteResult:
-		return err == nil
+	case <-x.upload.done:
+		return x.upload.err == nil
 	default:
 		return false
 	}
 }
 
+// ErrReset reports that the connection was reset while the request was being written, so
+// that a response which ends with the connection is not complete.
+var ErrReset = errors.New("the connection broke while the request was being written")
+
+// awaitUpload waits until the body has been written, and returns ErrReset if that failed.
+// The kernel reports a reset once: if a write takes note of it, the next read finds what
+// looks like the end of the connection.
+func (x *exchange) awaitUpload() error {
+	if x.upload == nil {
+		return nil
+	}
+	<-x.upload.done
+	if x.upload.err != nil {
+		return fmt.Errorf("%w: %w", ErrReset, x.upload.err)
+	}
+	return nil
+}
+
 // responseBody is a response body. Its connection is reused only if the body
 // was read to its end.
 type responseBody struct {
 	io.ReadCloser
 	exchange *exchange
 	reusable bool
+	// unframed is set if only the end of the connection ends the body.
+	unframed bool
 	atEOF    bool
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.unframed {
+		if failed := b.exchange.awaitUpload(); failed != nil {
+			return n, failed
+		}
+	}
 	if err == io.EOF {
 		b.atEOF = true
 	}
--- a/fleet/upstream/upstream.go
+++ b/fleet/upstream/upstream.go
@@ -164,14 +164,15 @@
 		}
 		return nil, err
 	}
-	resp.Body = &responseBody{ReadCloser: resp.Body, exchange: x, reusable: !endsWithConnection(resp)}
+	resp.Body = &responseBody{ReadCloser: resp.Body, exchange: x, reusable: !endsWithConnection(resp), unframed: IsUnframed(resp)}
 	return resp, nil
 }
 
 // endsWithConnection reports whether the connection ends with the response.
-func endsWithConnection(r *http.Response) bool {
-	return r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0
-}
+func endsWithConnection(r *http.Response) bool { return r.Close || IsUnframed(r) }
+
+// IsUnframed reports whether only the end of the connection ends a response.
+func IsUnframed(r *http.Response) bool { return r.ContentLength < 0 && len(r.TransferEncoding) == 0 }
 
 // connection returns an idle connection that is still usable for a request with an
 // attempt ID, or a new one.
--- a/fleet/upstream/upstream_test.go
+++ b/fleet/upstream/upstream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -488,3 +489,29 @@
 		So(closed, ShouldBeBetweenOrEqual, allowedSilence+eventPause, callerPatience)
 	})
 }
+
+func TestResponseThatIsResetDuringTheUploadIsNotComplete(t *testing.T) {
+	// Guards against a reset that the writing of the body takes note of, so that the response seems to end in order.
+	Convey("A response without framing whose connection is reset during the upload is broken off, from targets and from peers", t, func() {
+		address, _ := newScriptedTarget(t, func(_ int64, c net.Conn, requests *bufio.Reader) {
+			r, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\npart", attemptHeader, r.Header.Get(attemptHeader)) // the client may have left
+			_ = c.(*net.TCPConn).SetLinger(0)                                                                          // fails only on a closed connection
+			_ = c.Close()
+		})
+		for _, client := range []*Client{NewClient(attemptHeader, nil), NewPeerClient(attemptHeader)} {
+			for i := range 50 {
+				resp, err := client.Do(t.Context(), address, request(http.MethodPost, fmt.Sprint("a", i)), [][]byte{make([]byte, 3<<20)})
+				if err != nil {
+					continue // reset before the head was read
+				}
+				_, err = io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				So(err, ShouldNotBeNil)
+			}
+		}
+	})
+}
