--- a/fleet/engine/engine.go
+++ b/fleet/engine/engine.go
@@ -51,7 +51,7 @@
 // NewClient returns a Client with one connection pool for all targets.
 func NewClient() *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dialTarget,
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
@@ -64,7 +64,12 @@
 }
 
 // Do sends a request to a target.
-func (c *Client) Do(req *http.Request) (*http.Response, error) { return c.http.Do(req) }
+func (c *Client) Do(req *http.Request) (*http.Response, error) {
+	if req.ContentLength > 0 {
+		return c.doUpload(req)
+	}
+	return c.http.Do(req)
+}
 
 // Frame is one SSE event of an engine's response.
 type Frame struct {
