--- a/bench/callerstest/reset_test.go
+++ b/bench/callerstest/reset_test.go
@@ -21,7 +21,7 @@
 				return
 			}
 			_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n\r\npart of an answer") // the instance may have left
-			_ = conn.(*net.TCPConn).SetLinger(0)                               // fails only on a closed connection
+			_ = conn.(*net.TCPConn).SetLinger(0)                                // fails only on a closed connection
 			_ = conn.Close()
 		}))
 		Convey("no caller gets a complete answer", func() {
--- a/fleet/gateway/examination.go
+++ b/fleet/gateway/examination.go
@@ -152,7 +152,8 @@
 		result.Outcome = event.AttemptNotStarted
 	case ctx.Err() != nil:
 		result.Outcome = event.AttemptCancelled
-	case errors.Is(result.err, upstream.ErrResponseMismatch), errors.Is(result.err, upstream.ErrHeadTooLong):
+	case errors.Is(result.err, upstream.ErrResponseMismatch), errors.Is(result.err, upstream.ErrHeadTooLong),
+		errors.Is(result.err, upstream.ErrInvalidStatus):
 		result.Outcome = event.AttemptFailed
 	default:
 		result.Outcome = event.AttemptFailed
