--- a/fleet/engine/engine.go
+++ b/fleet/engine/engine.go
@@ -19,6 +19,8 @@
 	"strconv"
 	"syscall"
 	"time"
+
+	"plantainfield.example/fleet/httpstatus"
 )
 
 const (
@@ -63,12 +65,20 @@
 	}}
 }
 
-// Do sends a request to a target.
+// Do sends a request to a target. A response without a valid status is an error.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
+	send := c.http.Do
 	if req.ContentLength > 0 {
-		return c.doUpload(req)
+		send = c.doUpload
+	}
+	resp, err := send(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := httpstatus.Check(resp.StatusCode); err != nil {
+		return nil, errors.Join(err, resp.Body.Close())
 	}
-	return c.http.Do(req)
+	return resp, nil
 }
 
 // Frame is one SSE event of an engine's response.
--- a/fleet/gateway/examination.go
+++ b/fleet/gateway/examination.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"plantainfield.example/core/event"
+	"plantainfield.example/fleet/httpstatus"
 	"plantainfield.example/fleet/upstream"
 )
 
@@ -153,7 +154,7 @@
 	case ctx.Err() != nil:
 		result.Outcome = event.AttemptCancelled
 	case errors.Is(result.err, upstream.ErrResponseMismatch), errors.Is(result.err, upstream.ErrHeadTooLong),
-		errors.Is(result.err, upstream.ErrInvalidStatus):
+		errors.Is(result.err, httpstatus.ErrInvalid):
 		result.Outcome = event.AttemptFailed
 	default:
 		result.Outcome = event.AttemptFailed
--- a/fleet/upstream/exchange.go
+++ b/fleet/upstream/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"plantainfield.example/fleet/blocks"
+	"plantainfield.example/fleet/httpstatus"
 )
 
 // exchange is one request and its response on a connection.
@@ -184,7 +185,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("read the response header: %w", err)
 		}
-		if err := checkStatus(resp.StatusCode); err != nil {
+		if err := httpstatus.Check(resp.StatusCode); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
@@ -193,19 +194,6 @@
 	}
 }
 
-// maxStatus is the largest status code of HTTP.
-const maxStatus = 599
-
-// checkStatus returns ErrInvalidStatus for a status code that HTTP doesn't have, and for a
-// switch to another protocol, which no request asks for. What follows the head of such a
-// response belongs to no request.
-func checkStatus(code int) error {
-	if code < http.StatusContinue || code > maxStatus || code == http.StatusSwitchingProtocols {
-		return fmt.Errorf("%w: %03d", ErrInvalidStatus, code)
-	}
-	return nil
-}
-
 // discardResponse reads and discards the body of a response to another request.
 func discardResponse(resp *http.Response) error {
 	if endsWithConnection(resp) {
--- a/fleet/upstream/upstream.go
+++ b/fleet/upstream/upstream.go
@@ -99,10 +99,6 @@
 // before it included, is longer than maxHeadBytes.
 var ErrHeadTooLong = errors.New("the response header is too long")
 
-// ErrInvalidStatus reports a response whose status code is not one of HTTP, or that nobody
-// asked for.
-var ErrInvalidStatus = errors.New("the response has no valid status")
-
 // maxHeadBytes bounds the head of a response, up to what one read brings beyond
 // it.
 const maxHeadBytes = 64 << 10
