--- a/bench/callerstest/process_test.go
+++ b/bench/callerstest/process_test.go
@@ -24,6 +24,8 @@
 	largestBody = 4 << 20
 	stopShort   = 10
 	pieceBytes  = 64_000
+	// manyRequests of longResponse bytes are more than the memory of a process.
+	manyRequests, longResponse = 400, 2_000_000
 	// socketBound is the largest number of descriptors of a process with the default
 	// limits, and manyConnections are more.
 	socketBound, manyConnections = 3000, 4000
@@ -137,7 +139,25 @@
 	checkProcessBounds(t, "clients that send large chat requests completely", crowdSize, "/v1/chat/completions", crowd.Body(prompt, pieceBytes))
 }
 
-func TestProcessDescriptorsOfOwnInterfaceAreBounded(t *testing.T) {
+func TestProcessMemoryIsBoundedWhileServiceResponsesAreNotRead(t *testing.T) {
+	// Guards against responses that are held for clients that don't read them.
+	Convey("Given clients that don't read long responses of a service", t, func() {
+		p := newProcess(t)
+		p.service.set(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			length := longResponse
+			if strings.HasSuffix(r.URL.Path, "/ready") {
+				length = 1
+			}
+			_ = crowd.WritePieces(w, length, pieceBytes) // the daemon may have closed the connection
+		}))
+		c := crowd.Start([]string{p.settings.Callers.Address}, manyRequests, crowd.Request{Path: "/v1/services/records/long", Header: crowdHeader}, crowd.UnreadResponse)
+		t.Cleanup(c.Leave)
+		c.Wait()
+		Convey("the process stays within its bounds and serves others", func() { p.checkBounds(c) })
+	})
+}
+
+func TestProcessDescriptorsOfOwnInterface(t *testing.T) {
 	// Guards against clients that take the descriptors of targets, peers and the platform.
 	checkProcessBounds(t, "many connections on which nothing arrives", manyConnections, "/v1/services/records/x", crowd.Silent)
 }
--- a/core/clientlimit/clientlimit.go
+++ b/core/clientlimit/clientlimit.go
@@ -66,15 +66,16 @@
 		return notReading
 	case c.Phase == Receiving && late:
 		return slow
-	case c.Phase == Waiting:
+	case c.Phase == Waiting, c.Phase == Receiving:
 		return recent
 	}
 	return needed
 }
 
 // ForConnection returns the index of the client to disconnect in favour of a new
-// connection, or -1 if the new one is to be refused. Requests in progress whose clients
-// keep up are never disconnected.
+// connection, or -1 if the new one is to be refused. Complete requests whose clients take
+// their responses are never disconnected. Among clients whose requests still arrive the
+// oldest goes first, whatever its age, since ordinary requests arrive within milliseconds.
 func ForConnection(clients []Client) int {
 	victim, order := -1, needed
 	for i, c := range clients {
--- a/core/clientlimit/clientlimit_test.go
+++ b/core/clientlimit/clientlimit_test.go
@@ -17,11 +17,13 @@
 			{Phase: Sending, Age: 9 * time.Second},
 			{Phase: Receiving, Age: 8 * time.Second, Bytes: 1},
 			{Phase: Receiving, Age: 2 * time.Second, Bytes: 1 << 20},
+			{Phase: Receiving, Age: patience - 1, Bytes: 4 << 20},
 			{Phase: Waiting, Age: 20 * time.Millisecond},
 			{Phase: Waiting, Age: 10 * time.Millisecond, Served: true},
+			{Phase: Receiving, Age: 5 * time.Millisecond},
 		}
 		kept := []Client{
-			{Phase: Running, Age: time.Minute, Bytes: 4 << 20}, {Phase: Receiving, Age: patience - 1, Bytes: 4 << 20}, {Phase: Sending, Age: patience - 1}, {Phase: Closing},
+			{Phase: Running, Age: time.Minute, Bytes: 4 << 20}, {Phase: Sending, Age: patience - 1}, {Phase: Closing},
 		}
 		for i := range inOrder {
 			clients := append(append([]Client{}, kept...), inOrder[i:]...)
