--- a/fleet/clientconn/limiter.go
+++ b/fleet/clientconn/limiter.go
@@ -48,6 +48,9 @@
 	// when they are logged next.
 	disconnected, refused int
 	nextLog               time.Time
+	// snapshotConns and snapshotClients are what snapshot returns.
+	snapshotConns   []*Conn
+	snapshotClients []clientlimit.Client
 }
 
 // logPeriod is the time between two log lines about clients that give way.
@@ -68,15 +71,13 @@
 // By default it receives megabytes from clients that send fast.
 const receiveBufferBytes = 32 << 10
 
-// Listen listens at an IP:port. Its connections are limited, also in what they receive.
+// Listen listens at an IP:port. Its connections are limited, and, where the server tells of
+// them, what they receive.
 func (l *Limiter) Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(fd uintptr) {
-			failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
-		})
-		return errors.Join(err, failed)
-	}}
+	config := net.ListenConfig{}
+	if !l.limits.TracksReads {
+		config.Control = limitReceiveBuffer
+	}
 	inner, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -84,6 +85,14 @@
 	return l.Listener(inner), nil
 }
 
+func limitReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+	})
+	return errors.Join(err, failed)
+}
+
 type listener struct {
 	net.Listener
 	limiter *Limiter
@@ -107,17 +116,30 @@
 // many. It returns nil if the new one is refused.
 func (l *Limiter) add(raw net.Conn) *Conn {
 	c := &Conn{Conn: raw, limiter: l}
+	victim, admitted := l.admit(c)
+	if !admitted {
+		l.metrics.refused.Inc()
+		return nil
+	}
+	if victim != nil {
+		l.metrics.disconnected.WithLabelValues(reasonConnections).Inc()
+		_ = victim.Conn.Close() // fails only if it is closed already
+	}
+	return c
+}
+
+// admit counts a connection and returns the one that gives way to it, or nil if there is
+// room. It returns false if none gives way.
+func (l *Limiter) admit(c *Conn) (victim *Conn, admitted bool) {
 	l.mu.Lock()
-	var victim *Conn
+	defer l.mu.Unlock()
 	if len(l.conns) >= l.limits.Connections {
 		conns, clients := l.snapshot()
 		i := clientlimit.ForConnection(clients)
 		if i < 0 {
 			l.refused++
 			l.logGivenWay()
-			l.mu.Unlock()
-			l.metrics.refused.Inc()
-			return nil
+			return nil, false
 		}
 		victim = conns[i]
 		delete(l.conns, victim)
@@ -126,24 +148,22 @@
 	}
 	c.since = l.now()
 	l.conns[c] = struct{}{}
-	l.mu.Unlock()
-	if victim != nil {
-		l.metrics.disconnected.WithLabelValues(reasonConnections).Inc()
-		_ = victim.Conn.Close() // fails only if it is closed already
-	}
-	return c
+	return victim, true
 }
 
 // now returns the time since the limiter was made.
 func (l *Limiter) now() time.Duration { return time.Since(l.began) }
 
-// snapshot returns the connections and their states. The caller holds mu.
+// snapshot returns the connections and their states, until it is called again. The caller
+// holds mu.
 func (l *Limiter) snapshot() ([]*Conn, []clientlimit.Client) {
-	conns, clients := make([]*Conn, 0, len(l.conns)), make([]clientlimit.Client, 0, len(l.conns))
+	clear(l.snapshotConns)
+	conns, clients := l.snapshotConns[:0], l.snapshotClients[:0]
 	now := l.now()
 	for c := range l.conns {
 		conns, clients = append(conns, c), append(clients, c.client(now))
 	}
+	l.snapshotConns, l.snapshotClients = conns, clients
 	return conns, clients
 }
 
