--- a/bench/callerstest/process_test.go
+++ b/bench/callerstest/process_test.go
@@ -25,7 +25,7 @@
 	stopShort   = 10
 	pieceBytes  = 64_000
 	// manyRequests of longResponse bytes are more than the memory of a process.
-	manyRequests, longResponse = 400, 2_000_000
+	manyRequests, longResponse = 400, 15_000_000
 	// socketBound is the largest number of descriptors of a process with the default
 	// limits, and manyConnections are more.
 	socketBound, manyConnections = 3000, 4000
--- a/core/clientlimit/clientlimit.go
+++ b/core/clientlimit/clientlimit.go
@@ -97,6 +97,19 @@
 // cost is the use that a client makes of the memory: its size, for how long.
 func cost(c Client) float64 { return float64(c.Bytes) * (c.Age + startTime).Seconds() }
 
+// ForResponse returns the index of the client to disconnect so that there is memory for a
+// response of another, or -1: the one that makes most use of the memory among those that
+// don't take their responses.
+func ForResponse(clients []Client) int {
+	victim, most := -1, 0.0
+	for i, c := range clients {
+		if c.Phase == Sending && c.Age >= patience && cost(c) > most {
+			victim, most = i, cost(c)
+		}
+	}
+	return victim
+}
+
 // SmallBytes is the size up to which a body may use all of the memory for requests.
 const SmallBytes = 64 << 10
 
--- a/core/clientlimit/clientlimit_test.go
+++ b/core/clientlimit/clientlimit_test.go
@@ -65,6 +65,20 @@
 	})
 }
 
+func TestResponsesThatAreNotReadGiveWay(t *testing.T) {
+	Convey("Of the clients that don't take their responses, the one that makes most use of the memory gives way", t, func() {
+		clients := []Client{
+			{Phase: Running, Age: time.Hour, Bytes: 4 << 20},
+			{Phase: Receiving, Age: time.Hour, Bytes: 4 << 20},
+			{Phase: Sending, Age: patience - 1, Bytes: 4 << 20},
+			{Phase: Sending, Age: time.Hour},
+		}
+		So(ForResponse(clients), ShouldEqual, -1)
+		clients = append(clients, Client{Phase: Sending, Age: 2 * patience, Bytes: 10}, Client{Phase: Sending, Age: patience, Bytes: 1000})
+		So(ForResponse(clients), ShouldEqual, len(clients)-1)
+	})
+}
+
 func TestSmallBodiesHaveAShareOfTheMemory(t *testing.T) {
 	const limit = 1 << 20
 	Convey("Given memory that large bodies have filled as far as they may", t, func() {
--- a/fleet/callers/service.go
+++ b/fleet/callers/service.go
@@ -1,16 +1,23 @@
 package callers
 
 import (
+	"bytes"
+	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/gorilla/mux"
+	"go.uber.org/zap"
 
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/fleet/apierror"
+	"plantainfield.example/fleet/blocks"
+	"plantainfield.example/fleet/clientconn"
 	"plantainfield.example/fleet/engine"
 	"plantainfield.example/fleet/settings"
 )
@@ -107,28 +114,82 @@
 	if resp.Header.Get(engine.HeaderNotStarted) != "" {
 		return retryableEnd(d.Attempt, resp)
 	}
-	body, err := io.ReadAll(io.LimitReader(idleResetReader{resp.Body, idle}, maxServiceResponseBytes+1))
-	if err != nil {
+	body, err := x.readServiceResponse(ctx, idleResetReader{resp.Body, idle})
+	lost := errors.Is(err, errResponseTooLarge) || errors.Is(err, errNoResponseMemory)
+	if err != nil && !lost {
 		return end
 	}
 	end.Outcome, end.Usage, end.UsageKnown = event.AttemptCompleted, x.arrival.WorstCaseTokens, true
+	if lost {
+		x.log.Warn("response of a service lost", zap.Error(err))
+		x.prepareLostResponse(&end, resp, err)
+		return end
+	}
 	x.prepareServiceResponse(&end, resp, body)
 	return end
 }
 
-// prepareServiceResponse sets up the service's response, which is sent on
-// ReleaseAnswer. A response that is too large becomes an error; it is never
-// truncated.
-func (x *exchange) prepareServiceResponse(end *event.AttemptEnded, resp *http.Response, body []byte) {
-	if len(body) > maxServiceResponseBytes {
-		tooLarge := apierror.BodyOf(errkind.TargetFailed, "the service ran; its answer is too large", errkind.RanUnknown, 0)
-		end.Answer = &event.RecordedAnswer{Status: resp.StatusCode, Truncated: true}
-		x.sendFinal = func() {
-			x.out.extendDeadline()
-			apierror.Write(x.out.w, tooLarge)
+// Errors of responses that can't be held.
+var (
+	errResponseTooLarge = errors.New("the service ran; its answer is too large")
+	errNoResponseMemory = errors.New("the service ran; there was no memory for its answer")
+)
+
+const (
+	// responseCopies is how often a response is held while it is read.
+	responseCopies = 2
+	// responseMemoryWait is how long a response waits for memory: until others have been
+	// read by clients that keep up. It occupies its target meanwhile.
+	responseMemoryWait = 250 * time.Millisecond
+)
+
+// readServiceResponse reads a response completely, within the memory for requests. Its
+// first block costs no more than what each connection may use.
+func (x *exchange) readServiceResponse(ctx context.Context, r io.Reader) ([]byte, error) {
+	conn, err := clientconn.OfRequest(x.r)
+	if err != nil {
+		return nil, err
+	}
+	waiting, cancel := context.WithTimeout(ctx, responseMemoryWait)
+	defer cancel()
+	var body [][]byte
+	reserved := int64(0)
+	for size, read := int64(blocks.FirstBytes), 0; read <= maxServiceResponseBytes; size = blocks.NextBytes(size) {
+		if read > 0 {
+			if conn.AwaitReserve(waiting, responseCopies*size) != nil {
+				return nil, cmp.Or(ctx.Err(), errNoResponseMemory)
+			}
+			reserved += responseCopies * size
+		}
+		block := make([]byte, size)
+		n, err := blocks.Fill(r, block)
+		body, read = append(body, block[:n]), read+n
+		if err == io.EOF {
+			whole := bytes.Join(body, nil)
+			conn.Return(reserved - reserved/responseCopies)
+			return whole, nil
+		}
+		if err != nil {
+			return nil, err
 		}
-		return
 	}
+	return nil, errResponseTooLarge
+}
+
+// prepareLostResponse sets up the error response that is sent on ReleaseAnswer instead of
+// a response that can't be held. A response is never truncated.
+func (x *exchange) prepareLostResponse(end *event.AttemptEnded, resp *http.Response, reason error) {
+	lost := apierror.BodyOf(errkind.TargetFailed, reason.Error(), errkind.RanUnknown, 0)
+	end.Answer = &event.RecordedAnswer{Status: resp.StatusCode, Truncated: true}
+	x.sendFinal = func() {
+		x.out.extendDeadline()
+		apierror.Write(x.out.w, lost)
+	}
+}
+
+// prepareServiceResponse sets up the service's response, which is sent on
+// ReleaseAnswer.
+func (x *exchange) prepareServiceResponse(end *event.AttemptEnded, resp *http.Response, body []byte) {
 	contentType := resp.Header.Get("Content-Type")
 	x.sendFinal = func() {
 		for _, h := range forwardedResponseHeaders {
--- a/fleet/clientconn/body.go
+++ b/fleet/clientconn/body.go
@@ -140,9 +140,10 @@
 }
 
 // AwaitReserve counts memory for the request once there is any left, or returns the error
-// of ctx.
+// of ctx. Clients that don't take their responses are disconnected for it.
 func (c *Conn) AwaitReserve(ctx context.Context, bytes int64) error {
 	for !c.Reserve(bytes) {
+		c.limiter.disconnectSender()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -152,6 +153,23 @@
 	return nil
 }
 
+// disconnectSender disconnects a client that does not take its response, if there is one.
+// What it holds is given back once its handler has noticed.
+func (l *Limiter) disconnectSender() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conns, clients := l.snapshot()
+	i := clientlimit.ForResponse(clients)
+	if i < 0 {
+		return
+	}
+	conns[i].phase, conns[i].since = clientlimit.Closing, l.now()
+	_ = conns[i].Conn.Close() // fails only if it is closed already
+	l.disconnected++
+	l.logGivenWay()
+	l.metrics.disconnected.WithLabelValues(reasonMemory).Inc()
+}
+
 // reservePeriod is the time between two attempts to reserve memory.
 const reservePeriod = 5 * time.Millisecond
 
