--- a/core/clientlimit/clientlimit.go
+++ b/core/clientlimit/clientlimit.go
@@ -34,40 +34,35 @@
 	Served bool
 }
 
-// patience is the time after which a client that does not progress may be disconnected
-// in favour of another.
+// patience is the time after which a client that does not take its response may be
+// disconnected in favour of another.
 const patience = time.Second
 
 // deliveryTime is how long the last response on a connection has to reach its client.
-const deliveryTime = 100 * time.Millisecond
+const deliveryTime = 250 * time.Millisecond
 
 // Order in which clients are disconnected to make room for a new connection.
 const (
-	abandoned = iota
-	silent
+	closing = iota
 	idle
 	notReading
-	slow
-	recent
+	incomplete
 	needed
 )
 
-// connectionOrder returns the place of a client in the order of disconnection.
+// connectionOrder returns the place of a client in the order of disconnection. An idle
+// connection costs its client the least. Whether a request that is not complete is held
+// back by its client or by an instance that is late can't be told.
 func connectionOrder(c Client) int {
-	late := c.Age >= patience
 	switch {
 	case c.Phase == Closing && c.Age >= deliveryTime:
-		return abandoned
-	case c.Phase == Waiting && !c.Served && late:
-		return silent
-	case c.Phase == Waiting && late:
+		return closing
+	case c.Phase == Waiting && c.Served:
 		return idle
-	case c.Phase == Sending && late:
+	case c.Phase == Sending && c.Age >= patience:
 		return notReading
-	case c.Phase == Receiving && late:
-		return slow
 	case c.Phase == Waiting, c.Phase == Receiving:
-		return recent
+		return incomplete
 	}
 	return needed
 }
@@ -75,7 +70,7 @@
 // ForConnection returns the index of the client to disconnect in favour of a new
 // connection, or -1 if the new one is to be refused. Complete requests whose clients take
 // their responses are never disconnected. Among clients whose requests still arrive the
-// oldest goes first, whatever its age, since ordinary requests arrive within milliseconds.
+// oldest goes first, since ordinary requests arrive within milliseconds.
 func ForConnection(clients []Client) int {
 	victim, order := -1, needed
 	for i, c := range clients {
--- a/fleet/clientconn/clientconn_test.go
+++ b/fleet/clientconn/clientconn_test.go
@@ -223,6 +223,7 @@
 		So(err, ShouldBeNil)
 		third, _ := net.Pipe()
 		So(l.add(third), ShouldNotBeNil)
+		_ = silentFar.SetReadDeadline(time.Now().Add(waitLimit)) // fails if the other end is closed, which the next line shows
 		_, err = silentFar.Read(make([]byte, 1))
 		So(err, ShouldEqual, io.EOF)
 	})
--- a/fleet/clientconn/limiter.go
+++ b/fleet/clientconn/limiter.go
@@ -69,7 +69,7 @@
 
 // receiveBufferBytes bounds what the kernel receives on a connection before it is read.
 // By default it receives megabytes from clients that send fast.
-const receiveBufferBytes = 32 << 10
+const receiveBufferBytes = 16 << 10
 
 // Listen listens at an IP:port. Its connections are limited, and, where the server tells of
 // them, what they receive.
@@ -285,7 +285,7 @@
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 && c.limiter.limits.TracksReads {
-		c.setIdle()
+		c.setPhase(clientlimit.Waiting)
 	}
 	return n, err
 }
--- a/fleet/daemon/daemon.go
+++ b/fleet/daemon/daemon.go
@@ -75,7 +75,7 @@
 }
 
 func newCallers(s *settings.Settings, loop *runtime.Loop, client *engine.Client, log *zap.Logger) *callers.Server {
-	return callers.New(loop, client, s, log)
+	return callers.New(loop, client, withRequestLimit(s), log)
 }
 
 func newAdmin(loop *runtime.Loop, client *platform.Client, registry *prometheus.Registry, limiters *listenerLimiters) *admin.Server {
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -133,7 +133,7 @@
 func newGateway(adapter *PlatformAdapter, loop *runtime.Loop, targets *upstream.Client, log *zap.Logger) *gateway.Server {
 	peerClient := upstream.NewPeerClient(adapter.AttemptIDHeader)
 	peerClient.SetMaxIdle(connections(adapter.Settings).IdlePeers)
-	return gateway.New(loop, targets, peerClient, adapter.Protocol, adapter.Settings, log)
+	return gateway.New(loop, targets, peerClient, adapter.Protocol, withRequestLimit(adapter.Settings), log)
 }
 
 // hostedParams are the dependencies of the background workers and the
--- a/fleet/daemon/limiters.go
+++ b/fleet/daemon/limiters.go
@@ -21,6 +21,14 @@
 	return clientlimit.DivideConnections(s.Limits.MemoryBytes, s.Limits.MaxSockets)
 }
 
+// withRequestLimit returns settings whose number of concurrent requests fits into the
+// sockets and the memory of the process.
+func withRequestLimit(s *settings.Settings) *settings.Settings {
+	limited := *s
+	limited.Limits.MaxStreams = min(s.Limits.MaxStreams, connections(s).Requests)
+	return &limited
+}
+
 // newHostedLimiters returns the limiters of an instance on a platform.
 func newHostedLimiters(adapter *PlatformAdapter, log *zap.Logger) *listenerLimiters {
 	log = log.Named(logring.InstanceLogger)
--- a/fleet/settings/settings.go
+++ b/fleet/settings/settings.go
@@ -60,10 +60,10 @@
 // Limits bounds requests, responses and the graceful stop.
 type Limits struct {
 	// MemoryBytes is the memory that the process may use, in bytes. A quarter of it is for
-	// requests of callers, and each connection of a caller needs 192 KiB of it. On a
+	// requests of callers, and each connection of a caller needs 96 KiB of it. On a
 	// platform, its settings state the memory.
 	MemoryBytes int64 `json:"memoryBytes" min:"67108864" max:"1099511627776"`
-	// MaxSockets is the maximum number of sockets of the process. A quarter of them is for
+	// MaxSockets is the maximum number of sockets of the process. Half of them are for
 	// connections of callers. On a platform, its settings state the descriptors.
 	MaxSockets int `json:"maxSockets" min:"300" max:"1000000"`
 	// MaxBodyBytes is the maximum size of a request body, in bytes. A chat request of this
