--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -40,6 +40,9 @@
 			}
 		}
 	}
+	if t.Missing {
+		n.logChange("missing target listed again", "target", t.Name, "missing_for", n.now-t.MissingSince)
+	}
 	t.Instance, t.Missing = in, false
 	if in.State == event.StateLeaving {
 		t.Delisted = true
@@ -56,16 +59,18 @@
 	relisting := n.members.platformReconnectedAt > 0 && n.now-n.members.platformReconnectedAt < relistGrace
 	if relisting && !t.Missing && !t.Delisted {
 		t.Missing, t.MissingSince = true, n.now
+		n.logChange("target kept as missing", "target", t.Name, "since_list", n.now-n.members.platformReconnectedAt)
 	}
 	if relisting && t.Missing && n.now-t.MissingSince < relistGrace {
 		return
 	}
-	t.Missing = false
 	if !t.Delisted {
+		n.logChange("target unlisted", "target", t.Name, "was_missing", t.Missing, "missing_for", n.now-t.MissingSince)
 		t.Delisted = true
 		n.announceLeaving(t)
 		t.UnlistedAt = n.now
 	}
+	t.Missing = false
 	if t.inFlight == 0 && n.now-t.UnlistedAt >= tombstoneTimeout {
 		n.targetGone(t)
 		delete(n.members.targets, t.Name)
@@ -90,6 +95,7 @@
 		}
 	}
 	if n.now-n.members.platformReconnectedAt >= relistGrace {
+		n.logChange("targets no longer looked for", "since_list", n.now-n.members.platformReconnectedAt)
 		n.members.platformReconnectedAt = 0
 	}
 }
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -193,6 +193,7 @@
 // in flight continue.
 func (n *Node) instancesListed(e event.InstancesListed) {
 	if e.Reconnected {
+		n.logChange("list after the platform was away", "entries", len(e.Instances))
 		n.members.platformReconnectedAt = n.now
 	}
 	defer n.members.countListed()
