Use a target again once a current list shows it after a peer said that it leaves

What operators would see: a target gets no attempts from one instance for good, although its entry is in the store and all others use it.

Cause: an instance that gives up a missing target tells its peers. One at which the entry has just come back takes the target out of use on that word, and uses it again only after the list has lacked it and shows it again, which it never does. The same holds for an instance that reads removal and return in one response.

Change: a list that has all changes of the targets (after a list of theirs, or a response to their watch; at least each 5 s) confirms the targets that it shows as live. One that is later than the last word of a peer by the time for which such words can be late ends the leaving. A target that says itself that it leaves, or of which a peer goes on saying so, stays out of use.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -357,6 +357,9 @@
 	// could no longer be followed. It is nil if the list has changed otherwise: a target
 	// that it lacks was removed by somebody.
 	Relist *TargetRelist `json:"relist,omitempty"`
+	// TargetsCurrent is set if the list has all changes of the targets' entries until
+	// now. Otherwise it may lag.
+	TargetsCurrent bool `json:"targetsCurrent,omitempty"`
 	// UnusableTargets names the targets whose entries exist but can't be used.
 	UnusableTargets []string `json:"unusableTargets,omitempty"`
 }
--- a/core/node/hosted_test.go
+++ b/core/node/hosted_test.go
@@ -13,6 +13,7 @@
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/placement"
 	"plantainfield.example/core/targethealth"
+	"plantainfield.example/core/targetleaving"
 )
 
 // hosted is a node on a platform that stores the configuration.
@@ -322,3 +323,49 @@
 		So(refusal(h.arrive(1, 0)).RetryAfter, ShouldEqual, time.Second)
 	})
 }
+
+// TestTargetThatAPeerGaveUpIsUsedAgainOnceListsShowIt guards against a target that an
+// instance doesn't use for good, because a peer told that it leaves after this instance
+// had last seen its entry return.
+func TestTargetThatAPeerGaveUpIsUsedAgainOnceListsShowIt(t *testing.T) {
+	leaving := func(h *hosted) {
+		fact := event.Fact{Kind: event.FactLeaving, Name: "t1", Incarnation: h.node.members.targets["t1"].incarnation()}
+		h.step(event.Event{PeerReceived: &event.PeerReceived{From: "n2", Incarnation: "1", Message: event.PeerMessage{Heartbeat: &event.Heartbeat{Facts: []event.Fact{fact}}}}})
+	}
+	current := func(h *hosted) {
+		h.step(event.Event{InstancesListed: &event.InstancesListed{Instances: []event.Instance{targetEntry("t1")}, TargetsCurrent: true}})
+	}
+	Convey("Given a target whose entry is back and of which a peer tells then that it leaves", t, func() {
+		h := newHosted()
+		h.list(false, targetEntry("t1"))
+		h.advance(5 * time.Second)
+		h.list(true)
+		h.advance(absence.ReturnTime / 2)
+		current(h)
+		leaving(h)
+		So(dispatched(h.arrive(1, 0)), ShouldBeNil)
+		Convey("it gets no attempts as long as nothing newer confirms it", func() {
+			h.advance(targetleaving.MinTime / 2)
+			current(h)
+			h.advance(4 * targetleaving.MinTime)
+			h.list(false, targetEntry("t1"))
+			h.advance(time.Second)
+			So(dispatched(h.arrive(2, 0)), ShouldBeNil)
+		})
+		Convey("it gets attempts again once a list with all changes shows it later than what the peer said", func() {
+			h.advance(targetleaving.MinTime)
+			current(h)
+			h.advance(time.Second)
+			So(dispatched(h.arrive(2, 0)), ShouldNotBeNil)
+		})
+		Convey("unless the peer goes on saying so", func() {
+			for range 4 {
+				h.advance(targetleaving.MinTime / 2)
+				leaving(h)
+				current(h)
+			}
+			h.advance(time.Second)
+			So(dispatched(h.arrive(2, 0)), ShouldBeNil)
+		})
+	})
+}
--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -17,10 +17,11 @@
 	n.recordFact(gossip.Key{Kind: event.FactLeaving, Name: t.Name, Incarnation: t.incarnation()}, n.now)
 }
 
-// targetListed handles a target's entry in the instance list. An entry with
+// targetListed handles a target's entry in the instance list; current is set if the
+// list has all changes. An entry with
 // another address or a later start is another target. An entry without its start,
 // or with an earlier one, says nothing of the start that is known.
-func (n *Node) targetListed(in event.Instance) {
+func (n *Node) targetListed(in event.Instance, current bool) {
 	t := n.members.targets[in.Name]
 	if t != nil && t.Address == in.Address && in.StartMillis < t.StartMillis {
 		in.StartMillis, in.Version = t.StartMillis, t.Version
@@ -50,6 +51,9 @@
 	}
 	t.Relisted = t.Relisted || t.Delisted || wasAbsent && t.Leaving
 	t.Delisted = false
+	if current {
+		t.ListedLiveAt = n.now
+	}
 }
 
 // targetUnlisted handles the absence of a target from the instance list.
--- a/core/node/members.go
+++ b/core/node/members.go
@@ -205,7 +205,7 @@
 		case in.Role == event.RoleRouter:
 			n.peerListed(in)
 		default:
-			n.targetListed(in)
+			n.targetListed(in, e.TargetsCurrent)
 		}
 	}
 	for _, name := range n.members.targetNames() {
--- a/core/targetleaving/targetleaving.go
+++ b/core/targetleaving/targetleaving.go
@@ -27,6 +27,8 @@
 	ReportsLeaving bool
 	// ReportedLiveAt is when the target last reported that it is not leaving.
 	ReportedLiveAt time.Duration
+	// ListedLiveAt is when a list that had all changes last showed the target as live.
+	ListedLiveAt time.Duration
 	// seenAt is the time of the last evidence that the target is leaving.
 	seenAt time.Duration
 }
@@ -43,15 +45,15 @@
 func (s *Evidence) Observed() bool { return s.Delisted || s.ReportsLeaving || s.SaysLeaving }
 
 // Reinstate allows new attempts at a target that was leaving. The list must
-// show it as live, and either its own report or its reappearance in the list
-// must confirm that. The last evidence of leaving must be older than the delay
+// show it as live, and its own report, its reappearance in the list or a list that
+// has all changes must confirm that. The last evidence of leaving must be older than the delay
 // with which such updates can arrive.
 func (s *Evidence) Reinstate(now time.Duration) {
 	if !s.Leaving || s.Observed() || now-s.seenAt < MinTime {
 		return
 	}
-	reportedLive := s.ReportedLiveAt >= s.seenAt+MinTime
-	if reportedLive || s.Relisted {
+	confirmedLive := max(s.ReportedLiveAt, s.ListedLiveAt) >= s.seenAt+MinTime
+	if confirmedLive || s.Relisted {
 		s.Leaving, s.Relisted = false, false
 	}
 }
