Keep targets that lapsed between two looks of an instance that looks rarely

What operators of large fleets would see: after the store was away for longer than entries last, all instances stop using all targets for 5 s and more, although the targets have written their entries again.

Cause: an idle instance of a large fleet looks for changes each 5 to 10 s. A look within a second of the store's return shows that entries were removed, not that the store was away in between; the instance took that for a removal and told all others. If it did list the targets again, it kept them for 2 s, but looked again only after 5 s.

--- a/core/absence/absence.go
+++ b/core/absence/absence.go
@@ -125,8 +125,11 @@
 // entry was removed.
 func (t *Tracker) extended(now, before time.Duration, kept bool) time.Duration {
 	r := t.relist
-	mayHaveLapsed := r != nil && r.Away && (r.Restored || r.Unseen >= lapsePeriods*r.RenewalPeriod || kept && r.ListFailed)
-	if !mayHaveLapsed {
+	if r == nil || !r.Away && !r.Unwatched {
+		return before
+	}
+	mayHaveLapsed := r.Restored || r.Unseen >= lapsePeriods*r.RenewalPeriod || kept && r.ListFailed
+	if !mayHaveLapsed || kept && !r.Away {
 		return before
 	}
 	return max(before, min(now+ReturnTime, now-r.SinceFailure+maxKeptTime))
--- a/core/absence/absence_test.go
+++ b/core/absence/absence_test.go
@@ -37,6 +37,7 @@
 		"a list after a watch that was cut off":      {relist: &event.TargetRelist{Unseen: time.Minute, RenewalPeriod: renewalPeriod}},
 		"a list after a time too short for a lapse":  {relist: away(lapsePeriods*renewalPeriod - time.Millisecond)},
 		"a list after the platform was away":         {relist: away(lapsePeriods * renewalPeriod), kept: true},
+		"a time in which nobody watched":             {relist: &event.TargetRelist{Unwatched: true, Unseen: time.Minute, RenewalPeriod: renewalPeriod}, kept: true},
 		"an entry that can't be used":                {relist: away(time.Minute), unusable: []string{"t"}},
 		"a platform that came back from a copy":      {relist: &event.TargetRelist{Away: true, Restored: true, RenewalPeriod: renewalPeriod}, kept: true},
 		"a platform that was reached again long ago": {relist: &event.TargetRelist{Away: true, Unseen: time.Minute, SinceFailure: maxKeptTime, RenewalPeriod: renewalPeriod}},
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -353,9 +353,9 @@
 // InstancesListed reports the complete instance list, which may lag.
 type InstancesListed struct {
 	Instances []Instance `json:"instances"`
-	// Relist is set if the targets' entries were listed anew because their changes
-	// could no longer be followed. It is nil if the list has changed otherwise: a target
-	// that it lacks was removed by somebody.
+	// Relist is set if the targets' entries were learned after a time in which their
+	// changes were not followed. It is nil otherwise: a target that the list lacks was
+	// removed by somebody.
 	Relist *TargetRelist `json:"relist,omitempty"`
 	// TargetsCurrent is set if the list has all changes of the targets' entries until
 	// now. Otherwise it may lag.
@@ -370,6 +370,9 @@
 	// Away is set if the platform could not be reached in that time. A watch that was
 	// merely cut off, or whose history was dropped, doesn't show that.
 	Away bool `json:"away,omitempty"`
+	// Unwatched is set if nothing was asked of the platform in that time, so that it is
+	// not known whether it could be reached.
+	Unwatched bool `json:"unwatched,omitempty"`
 	// ListFailed is set if a list failed in that time: entries that had lapsed before
 	// could not be written again either.
 	ListFailed bool `json:"listFailed,omitempty"`
