Write all queued lines on Sync, whatever reserved lines are queued

What operators would see: a process that ends after a burst of log lines lacks the last ones, and its Sync reports success.

Cause: Sync wrote at most 1 MiB. Reserved lines and the batch that had been collected before counted in it, so that as many bytes of other lines stayed queued.

Evidence: go test -race reported a write after Sync had returned (TestInstanceLinesAreKeptWhileRequestLinesAreDropped, 1 of 3 runs on two processors), seen when the other test of this package was run with -race.

Change: the bound is 1 MiB, which is all that can be queued, beyond these.

Test: TestSyncLeavesNoLineOfAFullRing failed before (3 of 3).

--- a/fleet/logring/logring.go
+++ b/fleet/logring/logring.go
@@ -141,7 +141,8 @@
 
 // writeAll writes a batch and all queued lines, and closes done.
 func (r *Ring) writeAll(w io.Writer, batch []byte, done chan struct{}) {
-	r.write(w, r.reportDropped(r.fillBatch(r.takeReserved(batch), ringBytes)))
+	batch = r.takeReserved(batch)
+	r.write(w, r.reportDropped(r.fillBatch(batch, len(batch)+ringBytes)))
 	close(done)
 }
 
--- a/fleet/logring/logring_test.go
+++ b/fleet/logring/logring_test.go
@@ -69,6 +69,25 @@
 	})
 }
 
+func TestSyncLeavesNoLineOfAFullRing(t *testing.T) {
+	// Guards against a process that ends without its last lines although it has synced
+	// them, because reserved lines took the room of others in what Sync writes.
+	Convey("Sync writes all lines of a full ring, with reserved ones", t, func() {
+		w := &blockedWriter{release: make(chan struct{})}
+		r := New(w)
+		line := []byte(strings.Repeat("x", 999) + "\n")
+		for r.Dropped() == 0 {
+			_, _ = r.Write(line)
+		}
+		for range reservedLines / 2 {
+			_, _ = r.Reserved().Write(line)
+		}
+		close(w.release)
+		So(r.Sync(), ShouldBeNil)
+		So(len(r.lines), ShouldEqual, 0)
+	})
+}
+
 func TestInstanceLinesAreKeptWhileRequestLinesAreDropped(t *testing.T) {
 	Convey("Lines on the instance and warnings are written, and come first, while others are dropped", t, func() {
 		w := &blockedWriter{release: make(chan struct{})}
