--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -94,7 +94,7 @@
 		r = &event.TargetRelist{}
 	}
 	n.logChange("targets missing from the list", "kept", c.Kept.Count, "gone", c.Gone.Count, "back", c.Back.Count,
-		"first", slices.Concat(c.Kept.Names, c.Gone.Names, c.Back.Names), "away", r.Away, "restored", r.Restored, "unseen", r.Unseen, "since_failure", r.SinceFailure)
+		"first", slices.Concat(c.Kept.Names, c.Gone.Names, c.Back.Names), "away", r.Away, "unwatched", r.Unwatched, "restored", r.Restored, "unseen", r.Unseen, "since_failure", r.SinceFailure)
 }
 
 // tombstoneTimeout is how long a target is kept after it disappeared from the
