Refuse streams without a record at instances that are cut off together

Change: an instance that doesn't follow the targets' entries and reaches at most half of the instances doesn't go on with a stream without a record.

Why it works: an instance that follows the entries has seen the version itself, and one that reaches most instances asks one that has.

Tests: TestStreamIsNotResumedByInstancesThatAreCutOffTogether (line 344) and TestStreamWithoutRecordGoesOnOnlyAtTheOnlyVersion (line 203) fail without the check.

--- a/core/absence/absence.go
+++ b/core/absence/absence.go
@@ -68,6 +68,10 @@
 // entries aren't followed until the next list with a Relist.
 func (t *Tracker) Lost() { t.lost = true }
 
+// IsLost reports whether changes of the targets' entries aren't followed because the
+// platform can't be reached.
+func (t *Tracker) IsLost() bool { return t.lost }
+
 // Begin begins the handling of a list. Present and Absent are then called for the
 // targets that it contains and lacks, and End at its end.
 func (t *Tracker) Begin(list event.InstancesListed) {
@@ -151,3 +155,15 @@
 	slices.Sort(names)
 	return names
 }
+
+// Fields returns the changes as the fields of a log line, names and values in turn,
+// with what the list told of the time before it; r may be nil.
+func (c Changes) Fields(r *event.TargetRelist) []any {
+	if r == nil {
+		r = &event.TargetRelist{}
+	}
+	return []any{
+		"kept", c.Kept.Count, "gone", c.Gone.Count, "back", c.Back.Count, "first", slices.Concat(c.Kept.Names, c.Gone.Names, c.Back.Names),
+		"away", r.Away, "unwatched", r.Unwatched, "restored", r.Restored, "unseen", r.Unseen, "since_failure", r.SinceFailure,
+	}
+}
--- a/core/node/leaving.go
+++ b/core/node/leaving.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"slices"
 	"time"
 
 	"plantainfield.example/core/event"
@@ -86,15 +85,9 @@
 
 // logAbsences logs what was decided for the targets that the list lacks.
 func (n *Node) logAbsences(r *event.TargetRelist) {
-	c, changed := n.members.absences.End()
-	if !changed {
-		return
-	}
-	if r == nil {
-		r = &event.TargetRelist{}
+	if c, changed := n.members.absences.End(); changed {
+		n.logChange("targets missing from the list", c.Fields(r)...)
 	}
-	n.logChange("targets missing from the list", "kept", c.Kept.Count, "gone", c.Gone.Count, "back", c.Back.Count,
-		"first", slices.Concat(c.Kept.Names, c.Gone.Names, c.Back.Names), "away", r.Away, "unwatched", r.Unwatched, "restored", r.Restored, "unseen", r.Unseen, "since_failure", r.SinceFailure)
 }
 
 // tombstoneTimeout is how long a target is kept after it disappeared from the
--- a/core/node/origins.go
+++ b/core/node/origins.go
@@ -21,6 +21,10 @@
 
 func (n originFleet) Alone() bool { return n.fleetSize() == 1 }
 
+func (n originFleet) Partitioned() bool {
+	return n.members.absences.IsLost() && 2*n.liveInstances() <= n.fleetSize()
+}
+
 func (n originFleet) TargetVersions(serves string) []string {
 	var versions []string
 	for _, t := range n.members.targetsOf(serves) {
--- a/core/node/streamversion_test.go
+++ b/core/node/streamversion_test.go
@@ -311,3 +311,48 @@
 		})
 	})
 }
+
+func TestStreamIsNotResumedByInstancesThatAreCutOffTogether(t *testing.T) {
+	// Guards against streams that go on at another version, because an instance in a cut asks only
+	// those that are cut off with it, which have missed the version that began them.
+	Convey("Given an instance of four that can't reach the platform, and hears from one peer", t, func() {
+		h := newSuspectHosted(2, 3)
+		for _, p := range []string{"p1", "p2", "p3"} {
+			h.receive(p, event.PeerMessage{Heartbeat: &event.Heartbeat{}})
+		}
+		silent := func(names ...string) {
+			var facts []event.Fact
+			for _, name := range names {
+				facts = append(facts, event.Fact{Kind: event.FactSilent, Name: name})
+			}
+			h.receive("p1", event.PeerMessage{Heartbeat: &event.Heartbeat{Facts: facts}})
+		}
+		resumed := func(replying ...string) bool {
+			h.arriveStream("unknown")
+			for _, p := range replying {
+				record := streamorigin.Record{Stream: streamorigin.Key("unknown"), Origin: streamorigin.Origin{Serves: "app"}}
+				h.receive(p, event.PeerMessage{Origin: &streamorigin.Message{Reply: &streamorigin.Reply{Record: record, Sole: true}}})
+			}
+			r := h.node.requests.byHandle[h.handle]
+			return r != nil && r.phase == phaseRunning
+		}
+		h.step(event.Event{TargetsLost: &event.TargetsLost{}})
+		h.advance(100 * time.Millisecond)
+		So(resumed("p1", "p2", "p3"), ShouldBeTrue)
+		h.advance(100 * time.Millisecond)
+		silent("p2", "p3")
+		Convey("a stream of which that peer knows no other version is refused", func() { So(resumed("p1"), ShouldBeFalse) })
+		Convey("it goes on once the targets are listed again", func() {
+			l := &event.InstancesListed{Relist: &event.TargetRelist{Away: true, RenewalPeriod: time.Second}}
+			l.Instances = append(l.Instances, h.node.members.self)
+			for _, p := range h.node.members.peers {
+				l.Instances = append(l.Instances, p.Instance)
+			}
+			for _, known := range h.node.members.targets {
+				l.Instances = append(l.Instances, known.Instance)
+			}
+			h.step(event.Event{InstancesListed: l})
+			So(resumed("p1"), ShouldBeTrue)
+		})
+	})
+}
--- a/core/streamorigin/keeper.go
+++ b/core/streamorigin/keeper.go
@@ -11,6 +11,10 @@
 	LiveInstances() []string
 	// Alone reports whether no other instance exists, live or not.
 	Alone() bool
+	// Partitioned reports whether this instance neither learns of changes of the targets
+	// nor is in touch with most instances, so that versions may serve of which nobody
+	// whom it can ask knows.
+	Partitioned() bool
 	// TargetVersions returns the versions of the software of a service's targets.
 	TargetVersions(serves string) []string
 	// SendOrigin sends a message to a peer; it may get lost.
@@ -148,14 +152,14 @@
 // withoutRecord answers for a stream of which no record is found. It may go on only
 // if all targets have had the same software for as long as streams last, as far as
 // this instance and most of the peers that it asked have seen. An instance that is cut
-// off or paused misses versions that others know. One that has not watched the targets
-// for so long needs the word of a peer that has.
+// off or paused misses versions that others know, as do peers that are cut off with it.
+// One that has not watched the targets for so long needs the word of a peer that has.
 func (k *Keeper) withoutRecord(now time.Duration, a Answer) Answer {
 	o, only := k.only(now, a.serves)
 	connected := a.informed*2 > a.asked || a.asked == 0 && k.fleet.Alone()
 	agreed := !slices.ContainsFunc(a.versions, func(v string) bool { return v != o.Version })
 	established := k.established(now) || a.sole == o && !a.unnamed
-	if only && connected && agreed && established {
+	if only && connected && agreed && established && !k.fleet.Partitioned() {
 		a.Origin, a.Known = o, true
 	}
 	return a
--- a/core/streamorigin/streamorigin_test.go
+++ b/core/streamorigin/streamorigin_test.go
@@ -25,12 +25,14 @@
 	silent map[string]bool
 	// stale are the versions that instances which are out of step see instead.
 	stale map[string][]string
+	// partitioned are the instances that neither follow the targets nor reach most others.
+	partitioned map[string]bool
 	// answers are those that the keepers returned.
 	answers []Answer
 }
 
 func newTestFleet(size int) *testFleet {
-	f := &testFleet{now: time.Hour, keepers: map[string]*Keeper{}, versions: []string{"v1", "v1.1"}, silent: map[string]bool{}, stale: map[string][]string{}}
+	f := &testFleet{now: time.Hour, keepers: map[string]*Keeper{}, versions: []string{"v1", "v1.1"}, silent: map[string]bool{}, stale: map[string][]string{}, partitioned: map[string]bool{}}
 	for i := range size {
 		name := fmt.Sprint("n", i)
 		f.names = append(f.names, name)
@@ -53,6 +55,7 @@
 
 func (m member) LiveInstances() []string { return m.names }
 func (m member) Alone() bool             { return len(m.keepers) == 1 }
+func (m member) Partitioned() bool       { return m.partitioned[m.name] }
 
 func (m member) TargetVersions(string) []string {
 	if stale, ok := m.stale[m.name]; ok {
@@ -191,6 +194,15 @@
 			delete(f.silent, "n2")
 			So(f.find("n1", "unknown").Known, ShouldBeTrue)
 		})
+		Convey("must not at an instance that is cut off with the only peer that it asks", func() {
+			// Guards against streams that go on at another version in a cut of several instances.
+			f.names = []string{"n1", "n2"} // those that it takes for live
+			f.stale["n1"], f.stale["n2"] = []string{"v1"}, []string{"v1"}
+			So(f.find("n1", "unknown").Known, ShouldBeTrue)
+			f.partitioned["n1"] = true
+			So(f.find("n1", "unknown").Known, ShouldBeFalse)
+			So(f.find("n1", "").Known, ShouldBeFalse)
+		})
 		Convey("may at the only instance of a fleet", func() {
 			alone := newTestFleet(1)
 			alone.versions = []string{"v1"}
