review: case 14, a deadly request whose client leaves is never given up

Case: review/14, rule BUDGET. A request that ends each replica which runs it comes again and again. If its client leaves 200 ms after it has sent it, and the replica ends 400 ms later, the crash is not counted against the request.

--- a/review/standin3/replica.go
+++ b/review/standin3/replica.go
@@ -27,8 +27,10 @@
 	respond func(w http.ResponseWriter, r *http.Request, body []byte)
 	stopped chan struct{}
 
-	mu  sync.Mutex
-	all []ran
+	// mu guards all and the fields that a crash changes: born, server and down.
+	mu   sync.Mutex
+	all  []ran
+	down bool
 }
 
 // heartbeat is the time between two writes of a replica's entry.
@@ -42,18 +44,56 @@
 	p := &replica{
 		id: id, service: service, address: l.Addr().String(), store: s, rec: rec, born: time.Now().UnixMilli(), respond: respond, stopped: make(chan struct{}),
 	}
-	p.server = &http.Server{Handler: http.HandlerFunc(p.serve)}
-	go func() { _ = p.server.Serve(l) }()
+	p.serveOn(l)
 	go p.register()
 	return p, nil
 }
 
+func (p *replica) serveOn(l net.Listener) {
+	server := &http.Server{Handler: http.HandlerFunc(p.serve)}
+	p.mu.Lock()
+	p.server = server
+	p.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+}
+
+// crash ends the replica's process: its connections are closed and new ones are refused.
+// It starts again later, under its id and address, and reports whether it could.
+func (p *replica) crash(later time.Duration) {
+	p.mu.Lock()
+	if p.down {
+		p.mu.Unlock()
+		return
+	}
+	p.down = true
+	server := p.server
+	p.mu.Unlock()
+	_ = server.Close()
+	time.AfterFunc(later, func() {
+		l, err := net.Listen("tcp", p.address)
+		if err != nil {
+			p.rec.log("replica %s not started again: %v", p.id, err)
+			return
+		}
+		p.mu.Lock()
+		p.down, p.born = false, time.Now().UnixMilli()
+		p.mu.Unlock()
+		p.serveOn(l)
+		p.rec.log("replica %s is back", p.id)
+	})
+}
+
 func (p *replica) register() {
 	for n := 1; ; n++ {
-		p.store.put("servers", p.id, map[string]any{
-			"service": p.service, "address": p.address, "zone": "zone-a", "version": "v1", "concurrency_slots": 48, "replica_state": "ready",
-			"cold_remaining_ms": 0, "sequence_number": n, "born": p.born,
-		})
+		p.mu.Lock()
+		born, down := p.born, p.down
+		p.mu.Unlock()
+		if !down {
+			p.store.put("servers", p.id, map[string]any{
+				"service": p.service, "address": p.address, "zone": "zone-a", "version": "v1", "concurrency_slots": 48, "replica_state": "ready",
+				"cold_remaining_ms": 0, "sequence_number": n, "born": born,
+			})
+		}
 		select {
 		case <-p.stopped:
 			return
@@ -114,5 +154,7 @@
 
 func (p *replica) stop() {
 	close(p.stopped)
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	_ = p.server.Close()
 }
