--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -98,6 +98,11 @@
 			done <- outcome{false, err}
 			return
 		}
+		defer func() {
+			if p := recover(); p != nil {
+				done <- outcome{false, fmt.Errorf("panic: %v", p)}
+			}
+		}()
 		broken, err := run(e)
 		done <- outcome{broken, err}
 	}()
