--- a/review/standin3/drill.go
+++ b/review/standin3/drill.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["11"] = drillDuringRestart }
+func init() { cases["12"] = drillDuringRestart }
 
 const (
 	// copyAge is how old the copy may be that the store comes back from, awayTime how long
--- a/review/standin3/revoked.go
+++ b/review/standin3/revoked.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["12"] = revokedDuringUpload }
+func init() { cases["13"] = revokedDuringUpload }
 
 const (
 	// revokedKey is taken away by the disruption; the other key of its tenant stays.
--- a/review/standin3/whole.go
+++ b/review/standin3/whole.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func init() { cases["13"] = wholeAnswers }
+func init() { cases["14"] = wholeAnswers }
 
 const (
 	// smallQuota is what the tenant has prepaid, and ask size of a request, in tokens.
