--- a/review/standin3/replica.go
+++ b/review/standin3/replica.go
@@ -41,6 +41,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return newReplicaOn(l, s, rec, id, service, respond)
+}
+
+// newReplicaOn is newReplica with the listener of the replica.
+func newReplicaOn(l net.Listener, s *store, rec *record, id, service string, respond func(http.ResponseWriter, *http.Request, []byte)) (*replica, error) {
 	p := &replica{
 		id: id, service: service, address: l.Addr().String(), store: s, rec: rec, born: time.Now().UnixMilli(), respond: respond, stopped: make(chan struct{}),
 	}
