Log the event and the request before a panic ends the process

Neither the event nor the request that the decision loop was handling was in the log, so the hypotheses (a lost hand-over, an odd message of a peer, a target's answer) could not be told apart.

Change: fleet/runtime reports a panic of the node to a handler, with the event and the open request; the daemon writes one log line and waits until it is written. The panic goes on and ends the process: what the event had changed by then (reservations, open calls, limits) is not known to agree.

--- a/core/node/status.go
+++ b/core/node/status.go
@@ -112,10 +112,12 @@
 // RequestView is one open request in a dump.
 type RequestView struct {
 	Request  uint64 `json:"request"`
+	Key      string `json:"key"`
 	Customer string `json:"customer"`
 	Budget   string `json:"budget"`
 	Phase    string `json:"phase"`
 	Attempts int    `json:"attempts"`
+	Attempt  string `json:"attempt,omitempty"`
 	Target   string `json:"target"`
 	Reserved int64  `json:"reservedTokens"`
 }
@@ -138,7 +140,7 @@
 		SuspectParts: n.quarantine.parts.Records(n.now), BlockedParts: n.quarantine.parts.BlockedNames(),
 	}
 	for _, r := range n.requests.order {
-		d.Requests = append(d.Requests, RequestView{r.Request, r.Customer, r.Budget, phaseNames[r.phase], r.attempts, r.targetName, r.reserved})
+		d.Requests = append(d.Requests, RequestView{r.Request, r.Key, r.Customer, r.Budget, phaseNames[r.phase], r.attempts, r.attempt, r.targetName, r.reserved})
 	}
 	return d
 }
--- a/fleet/daemon/daemon.go
+++ b/fleet/daemon/daemon.go
@@ -58,8 +58,17 @@
 
 func newIdentity(s *settings.Settings) identity { return identity{s.Name, uuid.NewString()[:13]} }
 
-func newLoop(s *settings.Settings, id identity) *runtime.Loop {
-	return runtime.NewLoop(node.Settings{Name: id.name, Incarnation: id.incarnation, DataCentre: s.DataCentre, LedgerShards: s.LedgerShards})
+func newLoop(s *settings.Settings, id identity, log *zap.Logger) *runtime.Loop {
+	loop := runtime.NewLoop(node.Settings{Name: id.name, Incarnation: id.incarnation, DataCentre: s.DataCentre, LedgerShards: s.LedgerShards})
+	loop.SetPanicHandler(func(f runtime.Failure) { logPanic(log, f) })
+	return loop
+}
+
+// logPanic writes the last log line of a process that a panic of the core ends. The
+// stack follows on standard error.
+func logPanic(log *zap.Logger, f runtime.Failure) {
+	log.Error("the decision loop panicked; the process ends", zap.String("event", f.Event), zap.Any("request", f.Request))
+	_ = log.Sync()
 }
 
 func newPlatformClient(s *settings.Settings) *platform.Client {
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -102,6 +102,7 @@
 		Policies: hostedPolicies(adapter), SoleProcess: true, MaxObjectBytes: adapter.MaxObjectBytes,
 	})
 	loop.SetTickPeriod(hostedTickPeriod)
+	loop.SetPanicHandler(func(f runtime.Failure) { logPanic(log, f) })
 	loop.SetLogHandler(func(entry event.LogEntry) {
 		fields := make([]zap.Field, 0, len(entry.Fields))
 		for _, f := range entry.Fields {
--- a/fleet/runtime/loop.go
+++ b/fleet/runtime/loop.go
@@ -43,6 +43,8 @@
 // where noted.
 type Loop struct {
 	node *node.Node
+	// decide is the node's Step.
+	decide func(event.Input) []event.Action
 	// changes holds the events that have precedence over all others in events.
 	changes       chan postedEvent
 	events        chan postedEvent
@@ -80,6 +82,8 @@
 	tickPeriod time.Duration
 	// onLogEntry receives the core's log entries. It must not block.
 	onLogEntry func(event.LogEntry)
+	// onPanic is called before a panic of the node ends the process.
+	onPanic func(Failure)
 }
 
 // Counters are the loop's counters, for metrics.
@@ -95,8 +99,10 @@
 
 // NewLoop returns a Loop with a new node.
 func NewLoop(s node.Settings) *Loop {
+	n := node.New(s)
 	return &Loop{
-		node:             node.New(s),
+		node:             n,
+		decide:           n.Step,
 		changes:          make(chan postedEvent, changeQueueSize),
 		events:           make(chan postedEvent, eventQueueSize),
 		platformCalls:    make(chan event.PlatformCall, platformQueueSize),
@@ -109,6 +115,7 @@
 		ended:            make(chan struct{}),
 		following:        NewFollowing(),
 		onLogEntry:       func(event.LogEntry) {},
+		onPanic:          func(Failure) {},
 		sendDatagram:     func(string, event.PeerMessage) {},
 		tickPeriod:       event.TickPeriod,
 		onWait:           func(time.Duration) {},
@@ -289,7 +296,7 @@
 		in := event.Input{Now: now, Uptime: l.uptimeOf(queue[0]), Seed: rand.Uint64(), Event: queue[0]}
 		queue = queue[1:]
 		l.counters.Steps.Add(1)
-		for _, a := range l.node.Step(in) {
+		for _, a := range l.stepNode(in) {
 			if failed := l.execute(a); failed != nil {
 				queue = append(queue, event.Event{PlatformResult: failed})
 			}
