Go on after a hand-over is lost before any attempt here

Cause: the delay before a retry was computed from the number of attempts that this instance had dispatched, counted from 1. A request that was handed over at its arrival has none; when the hand-over was lost, retry.Delay shifted by -1.

Change: retry.Attempts counts the delays that were taken, whoever made the attempt that failed. core/backoff computes all growing and random delays of the core, and has a result for all arguments: the other shifts (ledger conflicts, bills, platform calls, avoided targets) and draws (Int64N panics below 1) now go through it.

--- a/core/node/billbackups.go
+++ b/core/node/billbackups.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"plantainfield.example/core/backoff"
 	"plantainfield.example/core/bill"
 	"plantainfield.example/core/event"
 )
@@ -195,7 +196,7 @@
 	if h.askCount == 0 && len(list) > 1 && n.localityRank(first) == 1 && n.localityRank(list[1]) == 0 {
 		n.sendHoldRequest(list[1], h)
 	}
-	h.nextAsk = n.now + min(holdRetryBase<<min(h.askCount, 10), holdRetryMax)
+	h.nextAsk = n.now + backoff.Exponential(holdRetryBase, holdRetryMax, h.askCount)
 	h.askCount++
 }
 
--- a/core/node/configs.go
+++ b/core/node/configs.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"plantainfield.example/core/backoff"
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/routing"
@@ -86,7 +87,7 @@
 	c := &n.configs
 	c.polling, c.polledOnce = false, true
 	c.pollFailed = r.Status != event.PlatformOK && r.Status != event.PlatformNotFound
-	c.nextPoll = n.now + n.jitter(configPollPeriod)
+	c.nextPoll = n.now + backoff.Jittered(configPollPeriod, n.rng)
 	switch r.Status {
 	case event.PlatformOK:
 		n.adopt(r.Object.Value)
@@ -96,11 +97,6 @@
 	}
 }
 
-// jitter returns a random duration between half of d and d.
-func (n *Node) jitter(d time.Duration) time.Duration {
-	return d/2 + time.Duration(n.rng.Int64N(int64(d/2)+1))
-}
-
 // restoreConfig writes the configuration in force back if the platform has lost
 // it. The write is conditional, so that it can't replace a later configuration.
 func (n *Node) restoreConfig(found event.Object) {
@@ -182,7 +178,7 @@
 	}
 	if c.highestPeerGeneration <= c.generation() {
 		c.behindSince = n.now
-		c.nextPoll = min(c.nextPoll, n.now+n.jitter(peerFetchDelay/2))
+		c.nextPoll = min(c.nextPoll, n.now+backoff.Jittered(peerFetchDelay/2, n.rng))
 	}
 	c.highestPeerGeneration, c.newerPeer = max(c.highestPeerGeneration, generation), from
 	n.fetchFromPeer()
--- a/core/node/eras.go
+++ b/core/node/eras.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"plantainfield.example/core/backoff"
 	"plantainfield.example/core/ledger"
 	"plantainfield.example/core/ledgerera"
 	"plantainfield.example/core/ledgersize"
@@ -57,7 +58,7 @@
 		n.eras.Returned(s.index, seen, s.version, holders{n})
 		n.refuseRemote(s)
 		s.known, s.summary, s.settle = false, false, true
-		s.retryAt, s.nextUpdate, s.nextBackgroundUpdate = n.now+n.randomBelow(maxReturnDelay), 0, 0
+		s.retryAt, s.nextUpdate, s.nextBackgroundUpdate = n.now+backoff.Below(maxReturnDelay, n.rng), 0, 0
 		n.book.MarkDirty(s.index)
 	}
 	n.quarantine.stored.returned()
--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -65,7 +65,7 @@
 // from the ledger counts only if this instance could not read the ledger
 // itself.
 func (n *Node) handOverPeer(r *request, rd *transferRound) string {
-	if rd == nil || r.HandedOver || r.NoTokenHandOver || r.callerGone || r.attempts > 0 || r.record != nil {
+	if rd == nil || r.HandedOver || r.NoTokenHandOver || r.callerGone || !r.attempts.None() || r.record != nil {
 		return ""
 	}
 	best, bestAdmissible := "", int64(0)
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"plantainfield.example/core/backoff"
 	"plantainfield.example/core/budget"
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/errkind"
@@ -560,17 +561,12 @@
 		n.readLedger(s)
 		return
 	}
-	n.resumeAfterDelay(s, min(conflictBackoffBase<<min(s.conflicts, 10), conflictBackoffMax))
+	n.resumeAfterDelay(s, backoff.Exponential(conflictBackoffBase, conflictBackoffMax, s.conflicts))
 }
 
 // resumeAfterDelay resumes an update after a random delay below maxDelay.
 func (n *Node) resumeAfterDelay(s *ledgerShard, maxDelay time.Duration) {
-	s.resumeAt = n.now + n.randomBelow(maxDelay) + 1
-}
-
-// randomBelow returns a random duration below limit.
-func (n *Node) randomBelow(limit time.Duration) time.Duration {
-	return time.Duration(n.rng.Int64N(int64(limit)))
+	s.resumeAt = n.now + backoff.Below(maxDelay, n.rng) + 1
 }
 
 // logLedgerUpdate logs the state of a shard after an update, summed over its
@@ -641,7 +637,7 @@
 // update if no operation has asked for their tokens yet.
 func (n *Node) finishLedgerUpdate(s *ledgerShard) {
 	if s.objectConflicts > 0 {
-		s.nextUpdate = n.now + n.randomBelow(min(time.Duration(s.objectConflicts)*contentionDelay, contentionDelayMax))
+		s.nextUpdate = n.now + backoff.Below(min(time.Duration(s.objectConflicts)*contentionDelay, contentionDelayMax), n.rng)
 	}
 	s.inFlight, s.failures, s.conflicts, s.objectConflicts = false, 0, 0, 0
 	n.delayAdvance(s)
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"plantainfield.example/core/backoff"
 	"plantainfield.example/core/bill"
 	"plantainfield.example/core/brittle"
 	"plantainfield.example/core/budget"
@@ -285,6 +286,5 @@
 
 // backoff returns a jittered exponential delay for a number of failures.
 func (n *Node) backoff(failures int) time.Duration {
-	d := min(backoffBase<<min(failures, 10), backoffMax)
-	return d/2 + time.Duration(n.rng.Int64N(int64(d/2)+1))
+	return backoff.Jittered(backoff.Exponential(backoffBase, backoffMax, failures), n.rng)
 }
--- a/core/node/partition.go
+++ b/core/node/partition.go
@@ -96,7 +96,7 @@
 // targetsRefused reports whether targets were tried for a request that is to be
 // refused, none of them got it, and none asked to be left alone.
 func (n *Node) targetsRefused(r *request) bool {
-	return len(r.failedTargets) > 0 && r.attemptsSent == 0 && n.shortestWait(r.Serves) == 0
+	return len(r.failedTargets) > 0 && r.attempts.Sent == 0 && n.shortestWait(r.Serves) == 0
 }
 
 // handOverToPeer hands a request that no target runs over to a peer that may reach
@@ -118,7 +118,7 @@
 	r.handedTo = append(r.handedTo, name)
 	r.phase = phaseHandedOver
 	n.emit(event.Action{HandOver: &event.HandOver{
-		Request: r.Request, Peer: name, Address: n.members.peers[name].Address, MaxAttempts: max(1, n.maxAttempts(r)-r.attemptsSent), MayHaveRun: r.mayHaveRun,
+		Request: r.Request, Peer: name, Address: n.members.peers[name].Address, MaxAttempts: max(1, n.maxAttempts(r)-r.attempts.Sent), MayHaveRun: r.mayHaveRun,
 	}})
 	return true
 }
@@ -128,7 +128,7 @@
 func (n *Node) peerHandOverEnded(r *request, e event.HandOverEnded) {
 	if e.Lost {
 		r.mayHaveRun = true
-		r.attemptsSent++
+		r.attempts.Sent++
 		r.lastFailure = errkind.TargetFailed
 		if e.BytesDelivered {
 			r.lastFailure = errkind.StreamCut
--- a/core/node/partition_test.go
+++ b/core/node/partition_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"pgregory.net/rapid"
+
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/event"
 )
@@ -75,3 +77,35 @@
 		})
 	})
 }
+
+// The decision loop panicked, and with it the process ended, when a request that was
+// handed over before any attempt here was lost with the peer.
+func TestInstanceGoesOnAfterHandOversAreLostWithTheirPeers(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := partitionedWorld(4)
+		var open []event.HandOver
+		w.hooks.onAction = func(_ *instance, a event.Action) {
+			if a.HandOver != nil {
+				open = append(open, *a.HandOver)
+			}
+		}
+		for i := range rapid.IntRange(1, 20).Draw(rt, "requests") {
+			r := exampleRequest(fmt.Sprint("k", i), 10, rapid.Bool().Draw(rt, "idempotent"))
+			r.Resumable = r.Idempotent && rapid.Bool().Draw(rt, "resumable")
+			r.MaxAttempts = rapid.IntRange(0, 3).Draw(rt, "attempts")
+			w.send("n1", r)
+			for len(open) > 0 && rapid.Bool().Draw(rt, "lose") {
+				lost := event.HandOverEnded{Request: open[0].Request, Lost: true, BytesDelivered: rapid.Bool().Draw(rt, "bytes delivered")}
+				open = open[1:]
+				w.step(w.nodes["n1"], event.Event{HandOverEnded: &lost})
+			}
+			w.tick(time.Duration(rapid.IntRange(0, 50).Draw(rt, "ms")) * time.Millisecond)
+		}
+		w.cutTargets["n1"] = false
+		w.runFor(2 * time.Second)
+		c := w.send("n1", exampleRequest("last", 10, true))
+		if !w.answeredWithin(c, 2*time.Second) || !w.answers[c].complete {
+			rt.Fatalf("n1 serves no request after the losses: %+v", w.answers[c])
+		}
+	})
+}
--- a/core/node/quarantine.go
+++ b/core/node/quarantine.go
@@ -152,7 +152,7 @@
 		return true
 	}
 	r.phase = phaseWaitingForClaim
-	id := fmt.Sprintf("%s#%d#%d", n.holder, r.Request, r.attempts)
+	id := fmt.Sprintf("%s#%d#%d", n.holder, r.Request, r.attempts.Dispatched)
 	claim := quarantine.Claim{ID: id, Instance: n.settings.Name, Incarnation: n.settings.Incarnation}
 	s.claims = append(s.claims, &claimRequest{request: r, claim: claim})
 	n.startSuspectUpdate(s)
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -35,10 +35,7 @@
 	// reserved is the open reservation in tokens; 0 if there is none.
 	reserved int64
 	budgetWait
-	// attempts counts the dispatched attempts, attemptsSent those of them that
-	// may have reached their target.
-	attempts     int
-	attemptsSent int
+	attempts retry.Attempts
 	// attempt is the ID of the last attempt; targetName and target are its
 	// target, and dispatched is when it was dispatched.
 	attempt    string
@@ -265,11 +262,11 @@
 }
 
 func (n *Node) dispatch(r *request, t *target) {
-	r.attempts++
-	if r.attempts == 1 {
+	r.attempts.Dispatched++
+	if r.attempts.Dispatched == 1 {
 		n.retryBudget.Deposit(n.retryPolicy())
 	}
-	r.attempt = fmt.Sprintf("%s-%s-%d-%d", n.settings.Name, n.settings.Incarnation, r.Request, r.attempts)
+	r.attempt = fmt.Sprintf("%s-%s-%d-%d", n.settings.Name, n.settings.Incarnation, r.Request, r.attempts.Dispatched)
 	r.targetName, r.target = t.Name, t
 	r.phase = phaseRunning
 	n.requests.byAttempt[r.attempt] = r
@@ -332,7 +329,7 @@
 	n.sampleAttemptEnd(r, e)
 	n.releaseTarget(r, e)
 	if !e.Unsent {
-		r.attemptsSent++
+		r.attempts.Sent++
 	}
 	defer n.dispatchWaitingFor(r.target)
 	n.settleAttempt(r, e)
@@ -391,17 +388,17 @@
 		return
 	}
 	r.failedTargets = append(r.failedTargets, r.targetName)
-	r.notBefore = n.now + n.retryDelay(r)
+	r.notBefore = n.now + r.attempts.NextDelay(n.configs.index.Document.Policies.Retries, n.rng)
 	n.reserveOrWait(r)
 }
 
 // chargeAttempt reports whether the request may be sent to one more target. If it
 // may, the attempt is charged to the retry budget, except for the first one.
 func (n *Node) chargeAttempt(r *request) bool {
-	if r.attemptsSent == 0 {
+	if r.attempts.Sent == 0 {
 		return true
 	}
-	return r.attemptsSent < n.maxAttempts(r) && n.retryBudget.TryWithdraw(n.retryPolicy())
+	return r.attempts.Sent < n.maxAttempts(r) && n.retryBudget.TryWithdraw(n.retryPolicy())
 }
 
 // maxAttempts returns the maximum number of targets that the request may be sent
--- a/core/node/status.go
+++ b/core/node/status.go
@@ -140,7 +140,7 @@
 		SuspectParts: n.quarantine.parts.Records(n.now), BlockedParts: n.quarantine.parts.BlockedNames(),
 	}
 	for _, r := range n.requests.order {
-		d.Requests = append(d.Requests, RequestView{r.Request, r.Key, r.Customer, r.Budget, phaseNames[r.phase], r.attempts, r.attempt, r.targetName, r.reserved})
+		d.Requests = append(d.Requests, RequestView{r.Request, r.Key, r.Customer, r.Budget, phaseNames[r.phase], r.attempts.Dispatched, r.attempt, r.targetName, r.reserved})
 	}
 	return d
 }
--- a/core/node/targetlimits.go
+++ b/core/node/targetlimits.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"plantainfield.example/core/backoff"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/gossip"
 	"plantainfield.example/core/targetlimit"
@@ -146,7 +147,7 @@
 	if demand := n.members.demand.PerSecond; sum > 0 && demand > sum {
 		wait = min(maxLimitedRetryAfter, time.Duration(float64(time.Second)*demand/sum))
 	}
-	return wait/2 + n.randomBelow(wait)
+	return wait/2 + backoff.Below(wait, n.rng)
 }
 
 // maxLimitedRetryAfter bounds how long callers are asked to stay away from targets
--- a/core/node/targets.go
+++ b/core/node/targets.go
@@ -8,7 +8,6 @@
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/limit"
-	"plantainfield.example/core/retry"
 	"plantainfield.example/core/routing"
 	"plantainfield.example/core/targethealth"
 	"plantainfield.example/core/targetleaving"
@@ -175,7 +174,3 @@
 	t.prefixes.RecordCached(e.CachedPrefixes, now)
 	t.prefixes.RecordEvicted(e.EvictedPrefixes, now)
 }
-
-func (n *Node) retryDelay(r *request) time.Duration {
-	return retry.Delay(n.configs.index.Document.Policies.Retries, r.attempts, n.rng)
-}
--- a/core/node/trials.go
+++ b/core/node/trials.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"plantainfield.example/core/backoff"
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
 	"plantainfield.example/core/quarantine"
@@ -93,7 +94,7 @@
 		n.finishRefused(r, errkind.CallerGone)
 		return
 	}
-	r.notBefore = n.now + trialRetryDelay/2 + time.Duration(n.rng.Int64N(int64(trialRetryDelay)))
+	r.notBefore = n.now + trialRetryDelay/2 + backoff.Below(trialRetryDelay, n.rng)
 	n.enqueue(r)
 }
 
--- /dev/null
+++ b/core/retry/attempts.go
@@ -0,0 +1,30 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"plantainfield.example/core/config"
+)
+
+// Attempts counts the attempts of one request. The zero value is that of a request that
+// was sent nowhere.
+type Attempts struct {
+	// Dispatched is the number of attempts that this instance has dispatched.
+	Dispatched int
+	// Sent is the number of attempts, of this instance and of the peers that the request
+	// was handed over to, that may have reached a target.
+	Sent int
+	// retries is the number of delays that were taken.
+	retries int
+}
+
+// None reports whether no attempt was made, here or by a peer.
+func (a *Attempts) None() bool { return a.Dispatched == 0 && a.Sent == 0 }
+
+// NextDelay returns the delay before the next retry. It grows with each one, whether the
+// attempt that failed was this instance's or a peer's.
+func (a *Attempts) NextDelay(p config.RetryPolicy, rng *rand.Rand) time.Duration {
+	a.retries++
+	return Delay(p, a.retries-1, rng)
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"plantainfield.example/core/backoff"
 	"plantainfield.example/core/config"
 )
 
@@ -65,12 +66,11 @@
 	return true
 }
 
-// Delay returns the exponential delay with jitter before retry number n,
-// counted from 1.
-func Delay(p config.RetryPolicy, n int, rng *rand.Rand) time.Duration {
+// Delay returns the exponential delay with jitter before the retry that follows a number
+// of earlier ones.
+func Delay(p config.RetryPolicy, earlier int, rng *rand.Rand) time.Duration {
 	base := time.Duration(p.BaseDelayMillis) * time.Millisecond
-	d := min(base<<min(n-1, 10), maxDelay)
-	return d/2 + time.Duration(rng.Int64N(int64(d/2)+1))
+	return backoff.Jittered(backoff.Exponential(base, maxDelay, earlier), rng)
 }
 
 const (
@@ -83,5 +83,5 @@
 // AfterWait returns when a caller may come back if all targets want no requests for
 // a time: some time later, so that callers don't return together.
 func AfterWait(wait time.Duration, rng *rand.Rand) time.Duration {
-	return wait + time.Duration(rng.Int64N(int64(max(MinWaitSpread, wait/waitSpread))))
+	return wait + backoff.Below(max(MinWaitSpread, wait/waitSpread), rng)
 }
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -38,12 +38,12 @@
 func TestDelayIsExponentialWithJitter(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		p := config.RetryPolicy{BaseDelayMillis: rapid.Int64Range(1, 10_000).Draw(rt, "base")}
-		n := rapid.IntRange(1, 40).Draw(rt, "retry")
+		earlier := rapid.IntRange(0, 40).Draw(rt, "earlier retries")
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
-		full := min(maxDelay, time.Duration(p.BaseDelayMillis)*time.Millisecond<<min(n-1, 10))
+		full := min(maxDelay, time.Duration(p.BaseDelayMillis)*time.Millisecond<<min(earlier, 10))
 		seen := map[time.Duration]bool{}
 		for range 50 {
-			d := Delay(p, n, rng)
+			d := Delay(p, earlier, rng)
 			if d < full/2 || d > full {
 				rt.Fatalf("delay %v, want %v to %v", d, full/2, full)
 			}
--- a/core/targethealth/targethealth.go
+++ b/core/targethealth/targethealth.go
@@ -2,7 +2,11 @@
 // long a target is avoided after a failure.
 package targethealth
 
-import "time"
+import (
+	"time"
+
+	"plantainfield.example/core/backoff"
+)
 
 const (
 	// AvoidAfterFailure is how long a target is avoided after a failure: it gets new
@@ -56,7 +60,7 @@
 // avoided.
 func (s Services) Lost(t *Target, serves string) time.Duration {
 	s.record(t, serves, 1)
-	avoid := min(AvoidAfterFailure<<min(t.Losses, 4), MaxAvoidTime)
+	avoid := backoff.Exponential(AvoidAfterFailure, MaxAvoidTime, t.Losses)
 	t.Losses++
 	return avoid
 }
