Harness: a process that ends by itself is a failure

Change: bench/harness notes which processes were sent a signal that ends them. The fault scenarios check after each run that no process of an instance and not the platform ended otherwise, and print the end of its log; the demo fails for it too, also with exit code 0 or if the instance was started again since. The process tests of both interfaces check the same at their end. Engines are left out: scenarios make them crash.

--- a/bench/callerstest/process_test.go
+++ b/bench/callerstest/process_test.go
@@ -59,6 +59,11 @@
 	}()
 	t.Cleanup(func() {
 		p.meter.Stop()
+		select {
+		case <-p.exited:
+			t.Error("the process ended by itself")
+		default:
+		}
 		_ = command.Process.Kill() // fails only if it has exited
 		<-p.exited
 	})
--- a/bench/faults/scenario.go
+++ b/bench/faults/scenario.go
@@ -30,6 +30,7 @@
 //   - Configuration: exactly one of two concurrent applies is accepted; an accepted
 //     generation is in force on every reachable instance within inForceTimeout; no
 //     instance returns to a lower generation.
+//   - ProcessesGoOn: no process of an instance ends unless the scenario ends it.
 //   - CrashBound: a request crashes at most maxCrashes engines, gets a final error and
 //     never a complete answer.
 const (
@@ -41,12 +42,13 @@
 	LeavingTarget  Promise = "leaving target gets no new work"
 	PlannedStop    Promise = "planned stop cuts nothing off"
 	Configuration  Promise = "configuration in force, never reverts"
+	ProcessesGoOn  Promise = "no process ends by itself"
 	CrashBound     Promise = "crashing request is given up"
 )
 
 // checkedAlways are the promises that are checked after every scenario. load.Check
 // finds their violations.
-var checkedAlways = []Promise{NeverOverspent, BilledOnce, AtMostOnce, NotRunIsTrue, OwnAnswer}
+var checkedAlways = []Promise{NeverOverspent, BilledOnce, AtMostOnce, NotRunIsTrue, OwnAnswer, ProcessesGoOn}
 
 // Scenario runs load on a fleet and injects one or two faults.
 type Scenario struct {
@@ -179,6 +181,9 @@
 }
 
 func (s *scenarioRun) settleAndCheck() (load.Findings, error) {
+	for _, err := range s.EndedByThemselves() {
+		s.addViolation(ProcessesGoOn, "%v", err)
+	}
 	if err := s.SetFaults(platform.Faults{}); err != nil {
 		return load.Findings{}, err
 	}
--- a/bench/harness/fleet.go
+++ b/bench/harness/fleet.go
@@ -48,7 +48,9 @@
 	Platform        *Process
 	Routers         []*Router
 	Targets         []*Target
-	client          *platform.Client
+	// launched are the processes of all instances, also of those that were replaced.
+	launched []*Process
+	client   *platform.Client
 }
 
 // NewFleet starts a platform. Programs are run from the directory bin; settings and
@@ -176,7 +178,23 @@
 	if err != nil {
 		return err
 	}
-	return r.waitReady("http://" + r.Settings.Admin.Address + "/healthz")
+	if err := r.waitReady("http://" + r.Settings.Admin.Address + "/healthz"); err != nil {
+		return err
+	}
+	f.launched = append(f.launched, r.Process)
+	return nil
+}
+
+// EndedByThemselves returns an error for each process of an instance, and for the
+// platform's, that has ended although nothing was sent to it that ends it.
+func (f *Fleet) EndedByThemselves() []error {
+	var errs []error
+	for _, p := range append([]*Process{f.Platform}, f.launched...) {
+		if err := p.EndedByItself(); err != nil {
+			errs = append(errs, err)
+		}
+	}
+	return errs
 }
 
 // Restart starts a new process for an instance whose process has ended, with the
@@ -258,7 +276,7 @@
 
 // Stop stops all processes gracefully: instances first, the platform last.
 func (f *Fleet) Stop() error {
-	var errs []error
+	errs := f.EndedByThemselves()
 	for _, r := range f.Routers {
 		errs = append(errs, r.Process.Stop(stopTimeout))
 	}
--- a/bench/harness/process.go
+++ b/bench/harness/process.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -26,8 +27,10 @@
 	Name    string
 	cmd     *exec.Cmd
 	logPath string
-	done    chan struct{}
-	err     error
+	// endOrdered is set once the process was sent a signal that ends it.
+	endOrdered atomic.Bool
+	done       chan struct{}
+	err        error
 }
 
 // startProcess starts a program and appends its output to dir/NAME.log.
@@ -52,14 +55,41 @@
 }
 
 // Signal sends a signal to the process.
-func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+func (p *Process) Signal(s syscall.Signal) error {
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		p.endOrdered.Store(p.endOrdered.Load() || !p.ended())
+	}
+	return p.cmd.Process.Signal(s)
+}
 
 // Kill kills the process and waits until it has ended.
 func (p *Process) Kill() {
-	_ = p.cmd.Process.Kill()
+	_ = p.Signal(syscall.SIGKILL)
 	<-p.done
 }
 
+func (p *Process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// EndedByItself returns an error with the end of the log if the process has ended
+// although nothing was sent to it that ends it.
+func (p *Process) EndedByItself() error {
+	if !p.ended() || p.endOrdered.Load() {
+		return nil
+	}
+	log := p.Log()
+	return fmt.Errorf("%s ended by itself (%v): %s", p.Name, p.err, log[max(0, len(log)-shownLogBytes):])
+}
+
+// shownLogBytes is how much of the log of a process that ended by itself is shown.
+const shownLogBytes = 4 << 10
+
 // Stop sends SIGTERM and waits for the process to end. It returns an error if the
 // exit code is not 0. After the timeout it kills the process and returns an error.
 func (p *Process) Stop(timeout time.Duration) error {
--- a/fleet/runtime/panics_test.go
+++ b/fleet/runtime/panics_test.go
@@ -29,7 +29,9 @@
 			var failures []Failure
 			l.SetPanicHandler(func(f Failure) { failures = append(failures, f) })
 			l.decide = func(event.Input) []event.Action { panic("negative shift amount") }
-			So(func() { l.step(time.Second, event.Event{HandOverEnded: &event.HandOverEnded{Request: handle, Lost: true}}) }, ShouldPanicWith, "negative shift amount")
+			So(func() {
+				l.step(time.Second, event.Event{HandOverEnded: &event.HandOverEnded{Request: handle, Lost: true}})
+			}, ShouldPanicWith, "negative shift amount")
 			So(failures, ShouldHaveLength, 1)
 			So(failures[0].Event, ShouldContainSubstring, `"handOverEnded":{"request":1`)
 			So(failures[0].Request.Key, ShouldEqual, "k-7")
