Hand requests over for one attempt at a time

Cause: the peer was allowed all attempts that were left, and its loss counted as one. Also not counted: attempts of a peer that targets turned away, after which the next peer got the full number again. And a lost hand-over entered "" among the targets that had failed.

Weighed: to count all that the peer was allowed would leave most requests without another attempt after a loss. A word of the peer before each attempt may be lost with the peer. So each hand-over is for one attempt, and the instance that the caller is connected to decides on the next: after a loss it knows that there was at most one. A peer that answers says how many of its attempts may have reached a target (Plantainfield-Attempts); a failed attempt comes back to be made again, at the same peer too, and a refused request costs an attempt only if a target got it.

--- a/core/event/action.go
+++ b/core/event/action.go
@@ -99,8 +99,8 @@
 	// Peer is the name of the peer, and Address IP:port of its listener for callers.
 	Peer    string `json:"peer"`
 	Address string `json:"address"`
-	// MaxAttempts is the number of targets that the peer may send the request to,
-	// or 0 for the policy's value.
+	// MaxAttempts is the number of attempts that the peer may make, or 0 for the
+	// policy's value.
 	MaxAttempts int `json:"maxAttempts,omitempty"`
 	// MayHaveRun is set if an earlier attempt of the request may have run.
 	MayHaveRun bool `json:"mayHaveRun,omitempty"`
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -413,7 +413,7 @@
 	Request uint64 `json:"request"`
 	// Refused is set if the peer answered that the request was not run.
 	Refused bool `json:"refused"`
-	// Kind is the peer's error kind, or errkind.None.
+	// Kind is the peer's error kind, or errkind.None if it sent none.
 	Kind errkind.Kind `json:"kind,omitempty"`
 	// RetryAfter is when the peer asked the caller to come back, or 0.
 	RetryAfter time.Duration `json:"retryAfter,omitempty"`
@@ -421,6 +421,9 @@
 	// arrive completely, and BytesDelivered if a byte of it has reached the caller.
 	Lost           bool `json:"lost,omitempty"`
 	BytesDelivered bool `json:"bytesDelivered,omitempty"`
+	// Attempts is the number of attempts of the peer that may have reached a target. If
+	// the peer did not say, it is the number that it was allowed.
+	Attempts int `json:"attempts,omitempty"`
 }
 
 // TargetProbed reports whether a new connection to a target could be opened.
--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -92,7 +92,7 @@
 	switch {
 	case !e.Refused && !e.Lost:
 		n.requests.remove(r)
-	case len(r.handedTo) > 0:
+	case e.Lost || len(r.handedTo) > 0:
 		n.peerHandOverEnded(r, e)
 	case r.callerGone:
 		n.finishRefused(r, errkind.CallerGone)
--- a/core/node/partition.go
+++ b/core/node/partition.go
@@ -100,7 +100,8 @@
 }
 
 // handOverToPeer hands a request that no target runs over to a peer that may reach
-// a target of its service, and reports whether there is one.
+// a target of its service, and reports whether there is one. The peer may make one
+// attempt, so that the number of attempts is known if the peer is lost.
 func (n *Node) handOverToPeer(r *request) bool {
 	if r.HandedOver || r.callerGone || r.record != nil || len(r.handedTo) >= reach.MaxHandOvers {
 		return false
@@ -118,29 +119,26 @@
 	r.handedTo = append(r.handedTo, name)
 	r.phase = phaseHandedOver
 	n.emit(event.Action{HandOver: &event.HandOver{
-		Request: r.Request, Peer: name, Address: n.members.peers[name].Address, MaxAttempts: max(1, n.maxAttempts(r)-r.attempts.Sent), MayHaveRun: r.mayHaveRun,
+		Request: r.Request, Peer: name, Address: n.members.peers[name].Address, MaxAttempts: 1, MayHaveRun: r.mayHaveRun,
 	}})
 	return true
 }
 
-// peerHandOverEnded continues a request that was handed over by handOverToPeer and
-// that the peer did not run, or whose answer was lost.
+// peerHandOverEnded continues a request that was handed over and that the peer did not
+// run, or whose attempt at the peer failed or was lost with it.
 func (n *Node) peerHandOverEnded(r *request, e event.HandOverEnded) {
-	if e.Lost {
-		r.mayHaveRun = true
-		r.attempts.Sent++
-		r.lastFailure = errkind.TargetFailed
-		if e.BytesDelivered {
-			r.lastFailure = errkind.StreamCut
+	r.attempts.Sent += e.Attempts
+	switch {
+	case e.Lost:
+		r.attemptLost(e.BytesDelivered)
+		if answered := e.Kind != errkind.None; answered {
+			r.handedTo = r.handedTo[:max(0, len(r.handedTo)-1)] // this peer may make the next attempt
 		}
-		n.retryOrRefuse(r, r.Resumable || r.Idempotent && !e.BytesDelivered)
-		return
-	}
-	if r.callerGone {
+		n.retryOrRefuse(r, r.repeatable(e.BytesDelivered))
+	case r.callerGone:
 		n.finishRefused(r, errkind.CallerGone)
-		return
-	}
-	switch {
+	case e.Attempts > 0 && !n.chargeAttempt(r):
+		n.finishRefused(r, errkind.TargetNotStarted)
 	case n.handOverToPeer(r):
 	case n.reach.Unreached(r.Serves):
 		r.retryAfter = e.RetryAfter
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -332,6 +332,7 @@
 		r.attempts.Sent++
 	}
 	defer n.dispatchWaitingFor(r.target)
+	r.failedTargets = append(r.failedTargets, r.targetName)
 	n.settleAttempt(r, e)
 	n.updateQuarantine(r, e)
 	switch e.Outcome {
@@ -343,15 +344,26 @@
 		r.lastFailure = errkind.TargetNotStarted
 		n.retryOrRefuse(r, true)
 	default:
-		r.mayHaveRun = true
-		r.lastFailure = errkind.TargetFailed
-		if e.BytesDelivered {
-			r.lastFailure = errkind.StreamCut
-		}
-		n.retryOrRefuse(r, r.Resumable || r.Idempotent && !e.BytesDelivered)
+		r.attemptLost(e.BytesDelivered)
+		n.retryOrRefuse(r, r.repeatable(e.BytesDelivered))
+	}
+}
+
+// attemptLost records that an attempt, here or at a peer, may have run and brought no
+// complete answer.
+func (r *request) attemptLost(bytesDelivered bool) {
+	r.mayHaveRun, r.lastFailure = true, errkind.TargetFailed
+	if bytesDelivered {
+		r.lastFailure = errkind.StreamCut
 	}
 }
 
+// repeatable reports whether the request may run once more after an attempt that may have
+// run.
+func (r *request) repeatable(bytesDelivered bool) bool {
+	return r.Resumable || r.Idempotent && !bytesDelivered
+}
+
 // settleAttempt charges the tokens that the attempt consumed, or its whole
 // reservation if the usage is unknown.
 func (n *Node) settleAttempt(r *request, e event.AttemptEnded) {
@@ -387,7 +399,6 @@
 		n.finishRefused(r, r.lastFailure)
 		return
 	}
-	r.failedTargets = append(r.failedTargets, r.targetName)
 	r.notBefore = n.now + r.attempts.NextDelay(n.configs.index.Document.Policies.Retries, n.rng)
 	n.reserveOrWait(r)
 }
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -7,8 +7,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"plantainfield.example/core/errkind"
 )
 
 const (
@@ -185,22 +183,3 @@
 
 // MaxHandOvers is the number of peers that a request is handed over to at most.
 const MaxHandOvers = 3
-
-// PassOnRefusal reports whether a peer's refusal may be passed on as it is: that it did
-// not run the request says nothing of what was sent before the hand-over.
-func PassOnRefusal(ran errkind.Ran, mayHaveRun bool) bool {
-	return ran != errkind.RanNo || !mayHaveRun
-}
-
-// OtherPeerMayServe reports whether a request that a peer refused without running
-// it may be served by another: the reason is the state of that peer, and not that
-// of the request, its budget or the targets.
-func OtherPeerMayServe(kind errkind.Kind) bool {
-	switch kind {
-	case errkind.None, errkind.NotReady, errkind.Stopping, errkind.Isolated, errkind.NoTarget, errkind.TargetNotStarted, errkind.TooManyStreams, errkind.InstanceOverloaded,
-		errkind.MemoryExhausted,
-		errkind.UnknownPath, errkind.Unauthenticated:
-		return true
-	}
-	return false
-}
--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -48,6 +48,8 @@
 	actions <-chan event.Action
 	// relay is the state of the response to the caller.
 	relay relayState
+	// attemptsSent is the number of attempts that may have reached a target.
+	attemptsSent int
 	// mayHaveRun is set once a target or a peer may have run the request.
 	mayHaveRun bool
 	// abandonKind is set once no further attempt may start, because the caller
@@ -175,6 +177,9 @@
 // does not wait for the examination of a target beyond its time-out; the core does.
 func (x *exchange) runAttempt(ctx context.Context, d *event.Dispatch) bool {
 	result, examination := x.attempt(ctx, d)
+	if !result.Unsent {
+		x.attemptsSent++
+	}
 	x.mayHaveRun = x.mayHaveRun || result.Outcome != event.AttemptNotStarted
 	if result.Outcome == event.AttemptNotStarted && ctx.Err() != nil {
 		x.abandon(ctx) // before the core tries another target
@@ -239,6 +244,6 @@
 	if x.relay.started || x.abandonKind == errkind.CallerGone {
 		httpabort.Abort(x.w, x.r, x.log)
 	}
-	markRefusal(x.w, x.r, refusal.Kind, refusal.Ran)
+	markRefusal(x.w, x.r, refusal, x.attemptsSent)
 	x.server.protocol.Refuse(x.w, refusal)
 }
--- a/fleet/gateway/handover.go
+++ b/fleet/gateway/handover.go
@@ -29,6 +29,9 @@
 	// headerRefused marks an error response of a peer itself, to a request that was
 	// handed over: the error kind, a semicolon, and whether the request ran.
 	headerRefused = "Plantainfield-Refused"
+	// headerAttempts says in such a response how many attempts of the peer may have
+	// reached a target.
+	headerAttempts = "Plantainfield-Attempts"
 )
 
 // handOverMAC returns the MAC of the fields that identify a request.
@@ -68,7 +71,7 @@
 	case errors.Is(err, upstream.ErrUnsent):
 		end.Refused = true
 	case err != nil:
-		end.Lost, cancelled = true, ctx.Err() != nil
+		end.Lost, end.Attempts, cancelled = true, h.MaxAttempts, ctx.Err() != nil
 	default:
 		cancelled = x.relayPeerResponse(ctx, resp, h, &end)
 		_ = resp.Body.Close()
@@ -76,7 +79,7 @@
 	end.BytesDelivered = x.relay.started
 	x.mayHaveRun = x.mayHaveRun || !end.Refused
 	x.log.Info("hand-over ended", zap.String("peer", h.Peer), zap.Bool("refused", end.Refused), zap.Bool("lost", end.Lost), zap.Bool("cancelled", cancelled),
-		zap.String("kind", string(end.Kind)), zap.Int("events", x.relay.events.count-events), zap.Duration("took", time.Since(began)),
+		zap.String("kind", string(end.Kind)), zap.Int("attempts", end.Attempts), zap.Int("events", x.relay.events.count-events), zap.Duration("took", time.Since(began)),
 		zap.Duration("waited", began.Sub(x.arrived)), zap.Error(err))
 	x.server.metrics.countHandOver(end, cancelled)
 	if cancelled {
@@ -110,46 +113,63 @@
 	return req.WithContext(ctx)
 }
 
-// relayPeerResponse relays a peer's response, unless the peer refused the request
-// without running it and another peer may serve it. It reports whether the request
-// ended in the meantime.
+// relayPeerResponse relays a peer's response, unless it is a refusal after which the
+// core continues the request. It reports whether the request ended in the meantime.
 func (x *exchange) relayPeerResponse(ctx context.Context, resp *http.Response, h *event.HandOver, end *event.HandOverEnded) (cancelled bool) {
 	if mark := resp.Header.Get(headerRefused); mark != "" {
-		kind, ran, _ := strings.Cut(mark, ";")
-		end.Kind = errkind.Kind(kind)
-		notRun := errkind.Ran(ran) == errkind.RanNo
-		if x.relay.started || notRun && reach.OtherPeerMayServe(end.Kind) {
-			end.Refused, end.Lost = notRun, !notRun
-			end.RetryAfter = x.server.protocol.ReadRetryAfter(resp)
-			_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes))
-			return false
-		}
-		if !reach.PassOnRefusal(errkind.Ran(ran), h.MayHaveRun) {
-			x.refuse(Refusal{Kind: end.Kind, Ran: errkind.RanUnknown, RetryAfter: x.server.protocol.ReadRetryAfter(resp)})
-			return false
-		}
-		resp.Header.Del(headerRefused)
+		x.handlePeerRefusal(resp, mark, h, end)
+		return false
 	}
 	var attempt event.AttemptEnded
-	if end.Kind != errkind.None {
-		if err := x.relayBuffered(resp); err != nil {
-			attempt.Outcome = event.AttemptFailed
-		}
-	} else {
-		x.relayResponse(ctx, resp, &attempt)
+	x.relayResponse(ctx, resp, &attempt)
+	if end.Lost = attempt.Outcome == event.AttemptFailed; end.Lost {
+		end.Attempts = h.MaxAttempts
 	}
-	end.Lost = attempt.Outcome == event.AttemptFailed
 	if attempt.Outcome == event.AttemptCompleted {
 		x.server.metrics.observeResponse(x.route, x.arrived)
 	}
 	return attempt.Outcome == event.AttemptCancelled
 }
 
+// handlePeerRefusal relays a refusal of a peer, or ends the hand-over so that the core
+// continues the request.
+func (x *exchange) handlePeerRefusal(resp *http.Response, mark string, h *event.HandOver, end *event.HandOverEnded) {
+	kind, ran, _ := strings.Cut(mark, ";")
+	end.Kind, end.RetryAfter = errkind.Kind(kind), x.server.protocol.ReadRetryAfter(resp)
+	end.Attempts = peerAttempts(resp, h)
+	refusal := reach.Refusal{Kind: end.Kind, Ran: errkind.Ran(ran), Started: x.relay.started, MayHaveRun: h.MayHaveRun}
+	switch reach.AfterRefusal(refusal) {
+	case reach.TryOther:
+		end.Refused = true
+	case reach.Repeat:
+		end.Lost = true
+	case reach.PassOnAsUnknown:
+		x.refuse(Refusal{Kind: end.Kind, Ran: errkind.RanUnknown, RetryAfter: end.RetryAfter})
+	default:
+		resp.Header.Del(headerRefused)
+		resp.Header.Del(headerAttempts)
+		end.Lost = x.relayBuffered(resp) != nil
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes))
+}
+
+// peerAttempts returns the number of attempts that a peer which refused a request says
+// that it has made, or the number that it was allowed if it doesn't say.
+func peerAttempts(resp *http.Response, h *event.HandOver) int {
+	attempts, err := strconv.Atoi(resp.Header.Get(headerAttempts))
+	if err != nil || attempts < 0 {
+		return h.MaxAttempts
+	}
+	return attempts
+}
+
 // markRefusal marks an error response of this instance to a request that a peer
-// handed over.
-func markRefusal(w http.ResponseWriter, r *http.Request, kind errkind.Kind, ran errkind.Ran) {
+// handed over, of which a number of attempts may have reached a target.
+func markRefusal(w http.ResponseWriter, r *http.Request, refusal Refusal, attempts int) {
 	if r.Header.Get(headerHandedOver) != "" {
-		w.Header().Set(headerRefused, string(kind)+";"+string(ran))
+		w.Header().Set(headerRefused, string(refusal.Kind)+";"+string(refusal.Ran))
+		w.Header().Set(headerAttempts, strconv.Itoa(attempts))
 	}
 }
 
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -231,7 +231,7 @@
 func (s *Server) writeRefusal(w http.ResponseWriter, r *http.Request, refusal Refusal) {
 	s.metrics.refused.WithLabelValues(string(refusal.Kind)).Inc()
 	s.respondBeforeBody(w, r, refusal.Kind)
-	markRefusal(w, r, refusal.Kind, refusal.Ran)
+	markRefusal(w, r, refusal, 0)
 	s.protocol.Refuse(w, refusal)
 }
 
