Earn the retries of handed-over requests where they are made

What callers saw: an instance that reaches no target hands all requests over; once its reserve of retries was used up (ten, or its share of the fleet's), each request whose attempt at a peer failed was refused, although far less than the allowed share had been retried. The peers, which retry none of these requests, earned a share for each; an attempt here after a lost hand-over earned one more.

Cause: a request's share of a retry was deposited with the first attempt that an instance dispatched, wherever that was.

Change: retry.Attempts deposits it once, at the first dispatch or hand-over of the instance that makes the retries. A request that was handed over for one attempt deposits nothing at the peer; one that was handed over for lack of tokens, or by an older version with more attempts, is retried there and still does. Charge moves to core/retry, too.

--- a/core/node/partition.go
+++ b/core/node/partition.go
@@ -116,6 +116,7 @@
 		n.book.Account(r.Budget).Settle(r.reserved, 0)
 		r.reserved = 0
 	}
+	r.attempts.Deposit(n.retryBudget, n.retryPolicy())
 	r.handedTo = append(r.handedTo, name)
 	r.phase = phaseHandedOver
 	n.emit(event.Action{HandOver: &event.HandOver{
--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -139,6 +139,9 @@
 		n.refuseOnArrival(e.Request, kind)
 		return
 	}
+	if e.HandedOver && e.MaxAttempts == 1 {
+		r.attempts = retry.AttemptsAtPeer()
+	}
 	n.requests.add(r)
 	n.members.arrivals.Add()
 	n.members.follow.lastRequest = n.now
@@ -263,9 +266,7 @@
 
 func (n *Node) dispatch(r *request, t *target) {
 	r.attempts.Dispatched++
-	if r.attempts.Dispatched == 1 {
-		n.retryBudget.Deposit(n.retryPolicy())
-	}
+	r.attempts.Deposit(n.retryBudget, n.retryPolicy())
 	r.attempt = fmt.Sprintf("%s-%s-%d-%d", n.settings.Name, n.settings.Incarnation, r.Request, r.attempts.Dispatched)
 	r.targetName, r.target = t.Name, t
 	r.phase = phaseRunning
@@ -403,13 +404,10 @@
 	n.reserveOrWait(r)
 }
 
-// chargeAttempt reports whether the request may be sent to one more target. If it
-// may, the attempt is charged to the retry budget, except for the first one.
+// chargeAttempt reports whether the request may be sent to one more target, and charges
+// that attempt to the retry budget.
 func (n *Node) chargeAttempt(r *request) bool {
-	if r.attempts.Sent == 0 {
-		return true
-	}
-	return r.attempts.Sent < n.maxAttempts(r) && n.retryBudget.TryWithdraw(n.retryPolicy())
+	return r.attempts.Charge(n.retryBudget, n.retryPolicy(), n.maxAttempts(r))
 }
 
 // maxAttempts returns the maximum number of targets that the request may be sent
--- a/core/retry/attempts.go
+++ b/core/retry/attempts.go
@@ -17,11 +17,31 @@
 	Sent int
 	// retries is the number of delays that were taken.
 	retries int
+	// deposited is set once the request has earned its share of a retry.
+	deposited bool
 }
 
+// AttemptsAtPeer returns the attempts of a request that was handed over to this instance
+// and that the instance before retries: it earns its share of a retry there.
+func AttemptsAtPeer() Attempts { return Attempts{deposited: true} }
+
 // None reports whether no attempt was made, here or by a peer.
 func (a *Attempts) None() bool { return a.Dispatched == 0 && a.Sent == 0 }
 
+// Deposit credits the request's share of a retry to the budget, once.
+func (a *Attempts) Deposit(b *Budget, p Policy) {
+	if !a.deposited {
+		a.deposited = true
+		b.Deposit(p)
+	}
+}
+
+// Charge reports whether the request may be sent to one more target. If it may, the
+// attempt is charged to the budget, except for the first one.
+func (a *Attempts) Charge(b *Budget, p Policy, maxAttempts int) bool {
+	return a.Sent == 0 || a.Sent < maxAttempts && b.TryWithdraw(p)
+}
+
 // NextDelay returns the delay before the next retry. It grows with each one, whether the
 // attempt that failed was this instance's or a peer's.
 func (a *Attempts) NextDelay(p config.RetryPolicy, rng *rand.Rand) time.Duration {
