Charge a prompt once, however many peers a request runs at

What callers saw: each attempt at a peer charged the request's prompt, so that a request which was handed over twice cost its prompt twice; a stream that went on at a peer after events from here did too. Within one instance an exchange has always counted what its earlier attempts were charged; a hand-over lost that count.

Change: a hand-over carries how much of the prompt is charged, with a MAC of its own, and a peer that refuses says how much is charged by then. Of a response that broke off after some events, the instance counts the prompt and what it has relayed as charged: a peer that lives charges what it has sent, and of one that was killed what it had reserved is charged. A hand-over that was lost without a sign of the peer may not have run; its prompt is charged again, so that no budget is overspent.

--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -75,7 +75,7 @@
 	// reservedEvent is the memory that is reserved for an event that is not complete, in
 	// bytes.
 	reservedEvent int64
-	// chargedTokens is the usage of the previous attempts, in tokens.
+	// chargedTokens is the usage of the previous attempts, here and at peers, in tokens.
 	chargedTokens int64
 }
 
@@ -164,6 +164,7 @@
 	header := http.Header{}
 	copyEndToEndHeaders(header, x.r.Header)
 	header.Del(headerHandedOver)
+	header.Del(headerPromptCharged)
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // prevents net/http from adding its own
 	}
--- a/fleet/gateway/exchange.go
+++ b/fleet/gateway/exchange.go
@@ -244,6 +244,6 @@
 	if x.relay.started || x.abandonKind == errkind.CallerGone {
 		httpabort.Abort(x.w, x.r, x.log)
 	}
-	markRefusal(x.w, x.r, refusal, x.attemptsSent)
+	markRefusal(x.w, x.r, refusal, progress{x.attemptsSent, x.promptCharged()})
 	x.server.protocol.Refuse(x.w, refusal)
 }
--- a/fleet/gateway/handover.go
+++ b/fleet/gateway/handover.go
@@ -32,12 +32,16 @@
 	// headerAttempts says in such a response how many attempts of the peer may have
 	// reached a target.
 	headerAttempts = "Plantainfield-Attempts"
+	// headerPromptCharged says how many tokens of the prompt are charged already: in a
+	// request that is handed over, followed by a semicolon and a MAC, and in the response
+	// of a peer that refuses one.
+	headerPromptCharged = "Plantainfield-Prompt-Charged"
 )
 
-// handOverMAC returns the MAC of the fields that identify a request.
-func (s *Server) handOverMAC(r *http.Request, attemptID, attempts string) string {
+// handOverMAC returns the MAC of a value and the fields that identify a request.
+func (s *Server) handOverMAC(r *http.Request, attemptID, value string) string {
 	mac := hmac.New(sha256.New, []byte(s.peerKey))
-	for _, part := range []string{attempts, attemptID, r.Method, r.Host, r.RequestURI} {
+	for _, part := range []string{value, attemptID, r.Method, r.Host, r.RequestURI} {
 		_, _ = mac.Write([]byte(part))
 		_, _ = mac.Write([]byte{0})
 	}
@@ -60,6 +64,25 @@
 	return count
 }
 
+// promptChargedMAC returns the MAC of the value of headerPromptCharged in a request.
+func (s *Server) promptChargedMAC(r *http.Request, attemptID, tokens string) string {
+	return s.handOverMAC(r, attemptID, headerPromptCharged+" "+tokens)
+}
+
+// promptChargedBefore returns how many tokens of the prompt the instance that handed the
+// request over says are charged, or 0 if none did.
+func (s *Server) promptChargedBefore(r *http.Request, meta RequestMetadata) int64 {
+	text, mac, _ := strings.Cut(r.Header.Get(headerPromptCharged), ";")
+	tokens, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || tokens < 0 || !hmac.Equal([]byte(mac), []byte(s.promptChargedMAC(r, meta.AttemptID, text))) {
+		return 0
+	}
+	return min(tokens, meta.PromptTokens)
+}
+
+// promptCharged returns how many tokens of the prompt are charged, here or at peers.
+func (x *exchange) promptCharged() int64 { return min(x.relay.chargedTokens, x.meta.PromptTokens) }
+
 // handOver sends the request to a peer, relays the peer's response, and reports
 // whether the request is complete.
 func (x *exchange) handOver(ctx context.Context, h *event.HandOver) bool {
@@ -78,6 +101,9 @@
 	}
 	end.BytesDelivered = x.relay.started
 	x.mayHaveRun = x.mayHaveRun || !end.Refused
+	if x.relay.events.count > events { // the peer charges what it has sent, or what it had reserved if it was lost
+		_ = x.tokenUsage(event.AttemptEnded{Outcome: event.AttemptFailed})
+	}
 	x.log.Info("hand-over ended", zap.String("peer", h.Peer), zap.Bool("refused", end.Refused), zap.Bool("lost", end.Lost), zap.Bool("cancelled", cancelled),
 		zap.String("kind", string(end.Kind)), zap.Int("attempts", end.Attempts), zap.Int("events", x.relay.events.count-events), zap.Duration("took", time.Since(began)),
 		zap.Duration("waited", began.Sub(x.arrived)), zap.Error(err))
@@ -109,6 +135,10 @@
 		URL: &url.URL{Scheme: "http", Host: h.Address, Opaque: x.r.RequestURI},
 	}
 	header.Set(headerHandedOver, attempts+";"+x.server.handOverMAC(req, x.meta.AttemptID, attempts))
+	if charged := x.promptCharged(); charged > 0 {
+		text := strconv.FormatInt(charged, 10)
+		header.Set(headerPromptCharged, text+";"+x.server.promptChargedMAC(req, x.meta.AttemptID, text))
+	}
 	req.RequestURI = "" // only for the MAC; not allowed in a client's request
 	return req.WithContext(ctx)
 }
@@ -137,6 +167,7 @@
 	kind, ran, _ := strings.Cut(mark, ";")
 	end.Kind, end.RetryAfter = errkind.Kind(kind), x.server.protocol.ReadRetryAfter(resp)
 	end.Attempts = peerAttempts(resp, h)
+	x.relay.chargedTokens = max(x.relay.chargedTokens, min(promptChargedByPeer(resp), x.meta.PromptTokens))
 	refusal := reach.Refusal{Kind: end.Kind, Ran: errkind.Ran(ran), Started: x.relay.started, MayHaveRun: h.MayHaveRun}
 	switch reach.AfterRefusal(refusal) {
 	case reach.TryOther:
@@ -148,6 +179,7 @@
 	default:
 		resp.Header.Del(headerRefused)
 		resp.Header.Del(headerAttempts)
+		resp.Header.Del(headerPromptCharged)
 		end.Lost = x.relayBuffered(resp) != nil
 		return
 	}
@@ -164,12 +196,31 @@
 	return attempts
 }
 
+// promptChargedByPeer returns how many tokens of the prompt are charged according to a
+// peer that refused a request, or 0 if it doesn't say.
+func promptChargedByPeer(resp *http.Response) int64 {
+	tokens, err := strconv.ParseInt(resp.Header.Get(headerPromptCharged), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return max(0, tokens)
+}
+
+// progress is how far a request got at the instance that refuses it.
+type progress struct {
+	// attempts is the number of attempts that may have reached a target.
+	attempts int
+	// promptCharged is the number of tokens of the prompt that are charged.
+	promptCharged int64
+}
+
 // markRefusal marks an error response of this instance to a request that a peer
-// handed over, of which a number of attempts may have reached a target.
-func markRefusal(w http.ResponseWriter, r *http.Request, refusal Refusal, attempts int) {
+// handed over.
+func markRefusal(w http.ResponseWriter, r *http.Request, refusal Refusal, p progress) {
 	if r.Header.Get(headerHandedOver) != "" {
 		w.Header().Set(headerRefused, string(refusal.Kind)+";"+string(refusal.Ran))
-		w.Header().Set(headerAttempts, strconv.Itoa(attempts))
+		w.Header().Set(headerAttempts, strconv.Itoa(p.attempts))
+		w.Header().Set(headerPromptCharged, strconv.FormatInt(p.promptCharged, 10))
 	}
 }
 
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -130,6 +130,9 @@
 	}
 	defer conn.Release()
 	x := &exchange{server: s, w: w, conn: conn, r: r, meta: meta, route: route, index: index, owner: owner, arrived: arrived, handedOverAttempts: s.handedOverAttempts(r, meta.AttemptID)}
+	if x.handedOverAttempts > 0 {
+		x.relay.chargedTokens = s.promptChargedBefore(r, meta)
+	}
 	var kind errkind.Kind
 	if x.body, kind = s.readBody(w, r, conn, index.Routing.CallerLimits, x.deadline()); kind != errkind.None {
 		s.refuseEarly(w, r, kind, arrived, "")
@@ -231,7 +234,7 @@
 func (s *Server) writeRefusal(w http.ResponseWriter, r *http.Request, refusal Refusal) {
 	s.metrics.refused.WithLabelValues(string(refusal.Kind)).Inc()
 	s.respondBeforeBody(w, r, refusal.Kind)
-	markRefusal(w, r, refusal, 0)
+	markRefusal(w, r, refusal, progress{})
 	s.protocol.Refuse(w, refusal)
 }
 
