Survive null budgets, grants and records of the store and of peers

What would be seen: a ledger object with a budget or a grant that is null, a stored quarantine record that is null, or a peer's reply with a null budget ends every process that reads it, by a panic of the decision loop, and again after each restart. No deployment has shown it; it is the same class as the lost hand-over: an input of another process that one line of the loop can't bear.

How it was found: TestOddInputsOfOtherProcessesEndNoProcess replaces values inside the messages of peers, the results of the store and the lists that an instance gets, while it serves requests (null, negative, largest, other types; one in 2 to 21 inputs, both interfaces).

Change: what was decoded is checked before anything reads it. A ledger object with nulls counts as unreadable, as one that is no JSON does, which is now logged; a reply of a peer is ignored, and the update goes on without it; null records are left out.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -101,6 +101,22 @@
 	return int(xxhash.Sum64String(budgetName) % uint64(shards))
 }
 
+// CheckDecoded returns an error if a budget, or a grant of one, is null. Budgets that the
+// store or a peer has sent must be checked before anything else reads them.
+func CheckDecoded(budgets map[string]*Budget) error {
+	for name, b := range budgets {
+		if b == nil {
+			return fmt.Errorf("budget %q is null", name)
+		}
+		for holder, g := range b.Grants {
+			if g == nil {
+				return fmt.Errorf("grant of %q in budget %q is null", holder, name)
+			}
+		}
+	}
+	return nil
+}
+
 // Decode parses a shard; empty input is an empty shard.
 func Decode(raw []byte) (*Shard, error) {
 	s := &Shard{}
@@ -109,6 +125,9 @@
 			return nil, fmt.Errorf("ledger shard: %w", err)
 		}
 	}
+	if err := CheckDecoded(s.Budgets); err != nil {
+		return nil, fmt.Errorf("ledger shard: %w", err)
+	}
 	if s.Budgets == nil {
 		s.Budgets = map[string]*Budget{}
 	}
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -395,6 +395,7 @@
 	// result is false if the object can't be decoded.
 	shard, err := ledger.Decode(o.Value)
 	if err != nil {
+		n.logChange("ledger object unusable", "object", o.Name, "version", o.Version, "error", err.Error())
 		return false
 	}
 	s.version, s.shard, s.bytes, s.known, s.summary, s.seenAt = o.Version, shard, len(o.Value), true, false, n.now
--- a/core/node/ledgerwriter.go
+++ b/core/node/ledgerwriter.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -143,8 +144,9 @@
 // ledgerReplied continues the update whose request the writer answered. Replies
 // to requests of an earlier incarnation are ignored.
 func (n *Node) ledgerReplied(p *peer, m *event.LedgerReply) {
-	if m.Shard < 0 || m.Shard >= len(n.ledgers.shards) {
-		n.logChange("ledger reply ignored", "peer", p.Name, "shard", m.Shard)
+	err := ledger.CheckDecoded(m.Budgets)
+	if m.Shard < 0 || m.Shard >= len(n.ledgers.shards) || err != nil {
+		n.logChange("ledger reply ignored", "peer", p.Name, "shard", m.Shard, "error", fmt.Sprint(err))
 		return
 	}
 	n.eraSeen(m.Era)
--- a/core/node/quarantinesync.go
+++ b/core/node/quarantinesync.go
@@ -193,7 +193,7 @@
 	}
 	q.parts.Merge(n.now, value.Parts)
 	changed := 0
-	for _, r := range value.Records {
+	for _, r := range quarantine.Present(value.Records) {
 		if s, isNew := n.mergeSuspect(r, 0); isNew {
 			changed++
 			q.unannounced = append(q.unannounced, s.record.BodyHash)
--- a/core/node/world_test.go
+++ b/core/node/world_test.go
@@ -69,6 +69,8 @@
 	interceptCall func(in *instance, call event.PlatformCall) bool
 	// onWrite is called for each write that took effect.
 	onWrite func(o event.Object)
+	// receive returns the event that a node gets in place of one that has arrived.
+	receive func(in *instance, e event.Event) event.Event
 	// onAction is called for each action of a node.
 	onAction func(in *instance, a event.Action)
 }
@@ -203,6 +205,9 @@
 		return
 	}
 	w.seed++
+	if w.hooks.receive != nil {
+		e = w.hooks.receive(in, e)
+	}
 	for _, a := range in.node.Step(event.Input{Now: w.now - in.suspendedFor, Uptime: w.now, Seed: w.seed, Event: e}) {
 		w.execute(in, a)
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -76,6 +76,11 @@
 	return r, nil
 }
 
+// Present returns the records of a stored list that are not null.
+func Present(stored []*Record) []*Record {
+	return slices.DeleteFunc(stored, func(r *Record) bool { return r == nil })
+}
+
 // Count returns the number of crashes that have not been cleared.
 func (r *Record) Count() int64 { return int64(len(r.Crashes)) }
 
