--- a/core/node/requests.go
+++ b/core/node/requests.go
@@ -134,14 +134,11 @@
 
 // requestArrived admits a request or refuses it at once.
 func (n *Node) requestArrived(e event.RequestArrived) {
-	r := &request{RequestArrived: e, id: bill.RequestID{Customer: e.Customer, Key: e.Key}, arrived: n.now}
+	r := &request{RequestArrived: e, id: bill.RequestID{Customer: e.Customer, Key: e.Key}, arrived: n.now, attempts: retry.NewAttempts(e.HandedOver && e.MaxAttempts == 1)}
 	if kind := n.admissionError(r); kind != errkind.None {
 		n.refuseOnArrival(e.Request, kind)
 		return
 	}
-	if e.HandedOver && e.MaxAttempts == 1 {
-		r.attempts = retry.AttemptsAtPeer()
-	}
 	n.requests.add(r)
 	n.members.arrivals.Add()
 	n.members.follow.lastRequest = n.now
--- a/core/retry/attempts.go
+++ b/core/retry/attempts.go
@@ -8,7 +8,7 @@
 )
 
 // Attempts counts the attempts of one request. The zero value is that of a request that
-// was sent nowhere.
+// was sent nowhere and is retried here.
 type Attempts struct {
 	// Dispatched is the number of attempts that this instance has dispatched.
 	Dispatched int
@@ -21,9 +21,10 @@
 	deposited bool
 }
 
-// AttemptsAtPeer returns the attempts of a request that was handed over to this instance
-// and that the instance before retries: it earns its share of a retry there.
-func AttemptsAtPeer() Attempts { return Attempts{deposited: true} }
+// NewAttempts returns the attempts of a request that has just arrived. One that was handed
+// over to this instance, and that the instance before retries, earns its share of a retry
+// there.
+func NewAttempts(retriedElsewhere bool) Attempts { return Attempts{deposited: retriedElsewhere} }
 
 // None reports whether no attempt was made, here or by a peer.
 func (a *Attempts) None() bool { return a.Dispatched == 0 && a.Sent == 0 }
--- a/fleet/callers/exchange.go
+++ b/fleet/callers/exchange.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,6 +40,8 @@
 	actions  <-chan event.Action
 	// pending holds actions that arrived while an attempt was running.
 	pending []event.Action
+	// attemptsSent is the number of attempts that may have reached a target.
+	attemptsSent int
 	// started is set once an attempt or a hand-over has started.
 	started bool
 	// sendFinal sends the part of the response that is held back until
@@ -137,6 +140,9 @@
 		case e := <-ended:
 			x.log.Debug("attempt ended", zap.String("attempt", e.Attempt), zap.String("target", d.Target), zap.String("outcome", string(e.Outcome)), zap.Int64("usage", e.Usage))
 			x.countAttempt(e)
+			if !e.Unsent {
+				x.attemptsSent++
+			}
 			x.server.loop.Post(event.Event{AttemptEnded: &e})
 			return
 		case a := <-x.actions:
@@ -185,6 +191,9 @@
 	x.log.Info("request refused", zap.String("kind", string(refusal.Kind)), zap.String("ran", string(refusal.Ran)))
 	body := apierror.BodyOf(refusal.Kind, "", refusal.Ran, refusal.RetryAfter)
 	if !x.out.headerSent {
+		if x.arrival.HandedOver {
+			x.out.w.Header().Set(headerAttempts, strconv.Itoa(x.attemptsSent))
+		}
 		x.out.extendDeadline()
 		apierror.Write(x.out.w, body)
 		return
