Charge the output of answers that are no streams

Cause: the gateway charges output by the events that it has relayed, and a body that is no stream of events has none.

Change: once a successful body that isn't a stream may have reached the caller, the attempt is charged the most output that the request allows, which is what was reserved for it: the tokens of such a body can't be counted, and no budget may be overspent. An error of the target costs the prompt alone, as before.

--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -64,6 +64,9 @@
 	started bool
 	// events parses and counts the SSE events of a stream.
 	events eventBuffer
+	// uncounted is set once output that is not a stream of events, so that its tokens
+	// can't be counted, may have reached the caller.
+	uncounted bool
 	// timeToFirst is the time from the request to the stream's first chunk,
 	// longestGap the longest time between two chunks, and lastAt the time of
 	// the latest chunk.
@@ -267,6 +270,7 @@
 		x.w.Header()["Content-Length"] = []string{itoa(blocks.Length(buffered))}
 	}
 	x.relay.started = true
+	x.relay.uncounted = resp.StatusCode < http.StatusMultipleChoices
 	x.w.WriteHeader(resp.StatusCode)
 	if err = blocks.Write(x.w, buffered); err != nil || whole {
 		return err
@@ -428,8 +432,8 @@
 }
 
 // tokenUsage returns the tokens consumed by the attempt: the prompt, if the
-// request ran, and the output that was delivered. A resumed stream is not
-// charged for its prompt again.
+// request ran, and the output that was delivered: all that the request allows if it
+// can't be counted. A resumed stream is not charged for its prompt again.
 func (x *exchange) tokenUsage(end event.AttemptEnded) int64 {
 	if end.Outcome == event.AttemptNotStarted || end.Unsent {
 		return 0
@@ -438,7 +442,11 @@
 	if class := x.index.TargetClass(x.serves); class != nil && class.Engine != nil {
 		perEvent = class.Engine.TokensPerEvent
 	}
-	total := x.meta.PromptTokens + min(x.meta.MaxOutputTokens, perEvent*int64(x.relay.events.startedCount()))
+	output := min(x.meta.MaxOutputTokens, perEvent*int64(x.relay.events.startedCount()))
+	if x.relay.uncounted {
+		output = x.meta.MaxOutputTokens
+	}
+	total := x.meta.PromptTokens + output
 	used := max(0, total-x.relay.chargedTokens)
 	x.relay.chargedTokens += used
 	return used
