End the connection if the rest of a refused body comes late

Cause: the response goes out before the body (full duplex), and net/http is left to read the rest after the handler. When its deadline passes, net/http goes on with the connection, in the middle of the body. Found with the test: also a rest that arrives at once ended the connection, with a reset, as net/http begins to read for the next request twice.

Change: the handler itself reads the rest, for 1 s and 256 KiB as before, after the response has been sent whole. If it does not arrive, the connection ends with a log line. Meanwhile the request doesn't count as one in progress.

The 401 reaches the client before its connection ends.

--- a/fleet/gateway/protocol.go
+++ b/fleet/gateway/protocol.go
@@ -127,6 +127,6 @@
 	// value that can't be used is returned as an error, beside what else the target
 	// says.
 	ReadNotice(resp *http.Response) (TargetNotice, error)
-	// Refuse writes an error response of the router itself.
+	// Refuse writes an error response of the router itself, with its length.
 	Refuse(w http.ResponseWriter, refusal Refusal)
 }
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -190,17 +190,20 @@
 	}
 }
 
-// restTimeout bounds the time for which the rest of a body is read whose request was
-// refused. net/http bounds its size.
-const restTimeout = time.Second
+const (
+	// restTimeout bounds the time for which the rest of a body is read whose request was
+	// refused, and maxRestBytes its size.
+	restTimeout  = time.Second
+	maxRestBytes = 256 << 10
+)
 
 // respondBeforeBody makes the response go out although the request's body may not
 // have arrived: without it, net/http reads the rest of the body first, for as long as
-// that takes. Afterwards the rest is read for restTimeout at most, or not at all if the
-// body took too long or there is no memory for it.
-func (s *Server) respondBeforeBody(w http.ResponseWriter, r *http.Request, kind errkind.Kind) {
+// that takes. It reports whether the rest is to be read afterwards: not if the body took
+// too long or there is no memory for it.
+func (s *Server) respondBeforeBody(w http.ResponseWriter, r *http.Request, kind errkind.Kind) (rest bool) {
 	if r.ContentLength == 0 {
-		return
+		return false
 	}
 	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
 		s.log.Warn("response waits for the body", zap.Error(err))
@@ -208,9 +211,28 @@
 	if kind == errkind.SlowSender || kind == errkind.MemoryExhausted {
 		closeAfterResponse(w, r)
 		s.setReadDeadline(w, time.Now())
-		return
+		return false
+	}
+	return true
+}
+
+// discardRest sends the response and reads the rest of the request's body. If that does
+// not arrive in time, the connection ends: what came later would be taken for the next
+// request. net/http must not be left to read the rest after a response that went out
+// before it.
+func (s *Server) discardRest(w http.ResponseWriter, r *http.Request) {
+	s.activeRequests.Add(-1) // the request has been answered
+	defer s.activeRequests.Add(1)
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		panic(http.ErrAbortHandler)
 	}
 	s.setReadDeadline(w, time.Now().Add(restTimeout))
+	read, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxRestBytes+1))
+	if err != nil || read > maxRestBytes {
+		s.log.Info("connection closed: the rest of a refused request's body did not arrive", zap.Int64("read", read), zap.Error(err))
+		panic(http.ErrAbortHandler)
+	}
+	s.setReadDeadline(w, time.Time{})
 }
 
 // closeAfterResponse makes the connection end with the response.
@@ -233,9 +255,12 @@
 
 func (s *Server) writeRefusal(w http.ResponseWriter, r *http.Request, refusal Refusal) {
 	s.metrics.refused.WithLabelValues(string(refusal.Kind)).Inc()
-	s.respondBeforeBody(w, r, refusal.Kind)
+	rest := s.respondBeforeBody(w, r, refusal.Kind)
 	markRefusal(w, r, refusal, progress{})
 	s.protocol.Refuse(w, refusal)
+	if rest {
+		s.discardRest(w, r)
+	}
 }
 
 // refuseOverloaded refuses a request for lack of processor time. The connection is
