Count no more attempts of a peer than it was allowed

A number that a peer writes into Plantainfield-Attempts (X-Attempts) entered the count of a request's attempts as it was; a very large one would have made the sum negative, and the bound on attempts void.

--- a/fleet/callers/handover.go
+++ b/fleet/callers/handover.go
@@ -164,7 +164,7 @@
 	if err != nil || attempts < 0 {
 		return h.MaxAttempts
 	}
-	return attempts
+	return min(attempts, h.MaxAttempts)
 }
 
 // relayPeerResponse relays a peer's response as it arrives. If the response is
--- a/fleet/gateway/handover.go
+++ b/fleet/gateway/handover.go
@@ -193,7 +193,7 @@
 	if err != nil || attempts < 0 {
 		return h.MaxAttempts
 	}
-	return attempts
+	return min(attempts, h.MaxAttempts)
 }
 
 // promptChargedByPeer returns how many tokens of the prompt are charged according to a
