--- a/core/node/losthandover_test.go
+++ b/core/node/losthandover_test.go
@@ -22,8 +22,6 @@
 type handOverWorld struct {
 	*world
 	sent []caller
-	// gone holds the callers that have left.
-	gone map[caller]bool
 }
 
 const handOverPrepaid = 1_000_000
@@ -34,7 +32,7 @@
 	w.addTarget("t3", "m")
 	w.addTarget("t4", "m")
 	w.ready(4, handOverPrepaid, func(p *config.GrantPolicy) { p.SizeTokens = 2000 })
-	h := &handOverWorld{world: w, gone: map[caller]bool{}}
+	h := &handOverWorld{world: w}
 	for _, name := range w.nodeNames() {
 		w.send(name, exampleRequest("first-"+name, 10, true))
 	}
@@ -110,7 +108,6 @@
 		"leave": func(rt *rapid.T) {
 			if len(h.sent) > 0 {
 				c := rapid.SampledFrom(h.sent).Draw(rt, "caller")
-				h.gone[c] = true
 				h.stepAt(c, event.Event{CallerGone: &event.CallerGone{Request: c.handle}})
 			}
 		},
--- a/core/node/oddinput_test.go
+++ b/core/node/oddinput_test.go
@@ -14,7 +14,8 @@
 	"plantainfield.example/core/placement"
 )
 
-func grantsOfOddInputs(p *config.GrantPolicy) {
+// frequentGrants makes instances exchange tokens, and write for each other, all the time.
+func frequentGrants(p *config.GrantPolicy) {
 	p.SizeTokens, p.PeerTransfer, p.CombineUpdates = 300, true, true
 }
 
@@ -95,9 +96,9 @@
 		if rapid.Bool().Draw(rt, "hosted") {
 			w.disabled = Features{Bills: true, BegunRecords: true, QuarantineClaims: true}
 		}
-		w.ready(3, 6000, grantsOfOddInputs)
+		w.ready(3, 6000, frequentGrants)
 		d := budgetDocument(6000)
-		grantsOfOddInputs(&d.Policies.Grants)
+		frequentGrants(&d.Policies.Grants)
 		d.Policies.Routing.Policy = config.RoutingLeastWork
 		w.apply("n2", "op-2", d)
 		w.poisonBodies["hash-poison"] = true
@@ -113,7 +114,7 @@
 			return e
 		}
 		for round := range rapid.IntRange(1, 8).Draw(rt, "rounds") {
-			w.sendOddInputs(round)
+			w.sendOfEachKind(round)
 			w.runFor(time.Duration(rapid.IntRange(20, 500).Draw(rt, "ms")) * time.Millisecond)
 			if rapid.IntRange(0, 5).Draw(rt, "restart") == 0 {
 				w.startNode("n2")
@@ -123,8 +124,9 @@
 	})
 }
 
-// sendOddInputs sends requests that make the instances exchange all kinds of messages.
-func (w *world) sendOddInputs(round int) {
+// sendOfEachKind sends requests at all instances that make them exchange messages of most
+// kinds: resumed streams, long prompts, a body that crashes targets.
+func (w *world) sendOfEachKind(round int) {
 	for i, name := range w.nodeNames() {
 		r := exampleRequest(fmt.Sprint(round, "-", i), 80, i%2 == 0)
 		r.Parts = []placement.Part{{ID: 1, Tokens: 10}, {ID: uint64(round), Tokens: 20}}
