--- a/core/event/action.go
+++ b/core/event/action.go
@@ -20,6 +20,7 @@
 	PlatformCall    *PlatformCall    `json:"platformCall,omitempty"`
 	SendPeer        *SendPeer        `json:"sendPeer,omitempty"`
 	AdoptConfig     *AdoptConfig     `json:"adoptConfig,omitempty"`
+	ConfigStanding  *ConfigStanding  `json:"configStanding,omitempty"`
 	FollowPlatform  *FollowPlatform  `json:"followPlatform,omitempty"`
 	AnswerApply     *AnswerApply     `json:"answerApply,omitempty"`
 	AnswerAddresses *AnswerAddresses `json:"answerAddresses,omitempty"`
@@ -138,6 +139,17 @@
 	Stored *config.Stored `json:"stored"`
 }
 
+// ConfigStanding tells the driver whether newer configurations than the one in force
+// are known.
+type ConfigStanding struct {
+	// Behind is set if peers have a newer configuration in force, and Since is when the
+	// first report of the oldest such one arrived.
+	Behind bool          `json:"behind,omitempty"`
+	Since  time.Duration `json:"since,omitempty"`
+	// Highest is the highest generation that any instance is known to have in force.
+	Highest uint64 `json:"highest"`
+}
+
 // AnswerApply answers an ApplyRequested.
 type AnswerApply struct {
 	Apply uint64       `json:"apply"`
--- a/core/node/configs.go
+++ b/core/node/configs.go
@@ -7,6 +7,7 @@
 	"plantainfield.example/core/backoff"
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/outdated"
 	"plantainfield.example/core/routing"
 )
 
@@ -22,8 +23,6 @@
 	// hostedPeerFetchDelay is the same where the platform delivers every
 	// configuration by a watch, at once or, to some instances, much later.
 	hostedPeerFetchDelay = 200 * time.Millisecond
-	// peerFetchPeriod is the minimum time between two such requests to peers.
-	peerFetchPeriod = 500 * time.Millisecond
 )
 
 // configState is the configuration in force at this instance. Its generation
@@ -33,14 +32,10 @@
 	stored config.Stored
 	// raw is the JSON of stored. It may be nil until it is needed.
 	raw []byte
-	// highestPeerGeneration is the highest generation that a peer has reported.
-	highestPeerGeneration uint64
-	// behindSince is when highestPeerGeneration first exceeded the generation in
-	// force.
-	behindSince time.Duration
-	// newerPeer is the last peer that reported a newer generation.
-	newerPeer string
-	nextFetch time.Duration
+	// newer tracks the generations that peers have in force, and standing is what the
+	// driver was last told of them.
+	newer    outdated.Tracker
+	standing event.ConfigStanding
 
 	nextPoll time.Duration
 	polling  bool
@@ -67,7 +62,7 @@
 
 // highestKnown returns the highest generation that is known to be in force at
 // any instance.
-func (c *configState) highestKnown() uint64 { return max(c.generation(), c.highestPeerGeneration) }
+func (c *configState) highestKnown() uint64 { return c.newer.Highest() }
 
 func configObject() event.Object {
 	return event.Object{Kind: event.KindConfiguration, Name: configName}
@@ -76,6 +71,7 @@
 func (n *Node) tickConfig() {
 	n.tickApplies()
 	n.fetchFromPeer()
+	n.logStanding()
 	if n.settings.Disabled.ConfigurationStore || n.configs.polling || n.now < n.configs.nextPoll {
 		return
 	}
@@ -160,8 +156,10 @@
 func (n *Node) putInForce(s *config.Stored, raw []byte) {
 	n.configs.stored, n.configs.raw = *s, raw
 	n.configs.index = config.NewIndex(s)
+	n.configs.newer.PutInForce(s.Generation)
 	n.selector = routing.New(s.Document.Policies.Routing)
 	n.emit(event.Action{AdoptConfig: &event.AdoptConfig{Generation: s.Generation, Stored: s}})
+	n.announceStanding()
 	for i := range n.ledgers.shards {
 		n.book.MarkDirty(i) // totals and policies may have changed
 	}
@@ -173,34 +171,52 @@
 // in force, the platform is asked for it first, and then the peer.
 func (n *Node) peerGenerationSeen(from string, generation uint64) {
 	c := &n.configs
-	if generation <= c.generation() {
-		return
-	}
-	if c.highestPeerGeneration <= c.generation() {
-		c.behindSince = n.now
+	if c.newer.Heard(n.now, from, generation) {
 		c.nextPoll = min(c.nextPoll, n.now+backoff.Jittered(peerFetchDelay/2, n.rng))
 	}
-	c.highestPeerGeneration, c.newerPeer = max(c.highestPeerGeneration, generation), from
+	n.announceStanding()
 	n.fetchFromPeer()
 }
 
+// announceStanding tells the driver which newer configuration is known, if that has
+// changed.
+func (n *Node) announceStanding() {
+	since, behind := n.configs.newer.Behind()
+	if s := (event.ConfigStanding{Behind: behind, Since: since, Highest: n.configs.highestKnown()}); s != n.configs.standing {
+		n.configs.standing = s
+		n.emit(event.Action{ConfigStanding: &s})
+	}
+}
+
+// logStanding logs for how long this instance has been behind.
+func (n *Node) logStanding() {
+	c := &n.configs
+	if !c.newer.Notice(n.now) {
+		return
+	}
+	if since, behind := c.newer.Behind(); behind {
+		n.logChange("configuration outdated", "generation", c.generation(), "highest_known", c.highestKnown(), "behind", n.now-since, "since_peer_heard", n.now-n.members.lastHeard)
+	} else {
+		n.logChange("configuration up to date", "generation", c.generation())
+	}
+}
+
 // fetchFromPeer asks a peer for its newer configuration if the platform has had
 // time to deliver it.
 func (n *Node) fetchFromPeer() {
 	c := &n.configs
-	hosted := n.settings.Disabled.ConfigurationStore
-	if c.highestPeerGeneration <= c.generation() || n.now < c.nextFetch || !c.polledOnce && !hosted {
-		return
-	}
 	delay := peerFetchDelay
-	if hosted {
+	switch {
+	case n.settings.Disabled.ConfigurationStore:
 		delay = hostedPeerFetchDelay
-	}
-	if !c.pollFailed && n.now-c.behindSince < delay {
+	case !c.polledOnce:
 		return
+	case c.pollFailed:
+		delay = 0
+	}
+	if peer, due := c.newer.FetchDue(n.now, delay); due {
+		n.send(peer, event.PeerMessage{ConfigRequest: &event.ConfigRequest{NewerThan: c.generation()}})
 	}
-	c.nextFetch = n.now + peerFetchPeriod
-	n.send(c.newerPeer, event.PeerMessage{ConfigRequest: &event.ConfigRequest{NewerThan: c.generation()}})
 }
 
 func (n *Node) configRequested(from string, q *event.ConfigRequest) {
@@ -211,8 +227,9 @@
 
 func (n *Node) configReplied(from string, m *event.ConfigReply) {
 	before := n.configs.generation()
+	since, _ := n.configs.newer.Behind()
 	n.adopt(m.Stored)
 	if n.configs.generation() > before {
-		n.logChange("configuration from peer", "peer", from, "generation", n.configs.generation(), "before", before, "behind", n.now-n.configs.behindSince)
+		n.logChange("configuration from peer", "peer", from, "generation", n.configs.generation(), "before", before, "behind", n.now-since)
 	}
 }
--- /dev/null
+++ b/core/outdated/outdated_test.go
@@ -0,0 +1,65 @@
+package outdated
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestTracker(t *testing.T) {
+	Convey("An instance with generation 5 in force", t, func() {
+		var o Tracker
+		o.PutInForce(5)
+		_, behind := o.Behind()
+		So(behind, ShouldBeFalse)
+		So(o.Heard(time.Second, "a", 5), ShouldBeFalse)
+		Convey("is behind from the first report of a newer generation until that is in force", func() {
+			So(o.Heard(time.Second, "a", 6), ShouldBeTrue)
+			So(o.Heard(2*time.Second, "b", 9), ShouldBeFalse)
+			So(o.Heard(3*time.Second, "c", 6), ShouldBeFalse)
+			So(o.Highest(), ShouldEqual, 9)
+			since, behind := o.Behind()
+			So(behind, ShouldBeTrue)
+			So(since, ShouldEqual, time.Second)
+			o.PutInForce(6)
+			since, behind = o.Behind()
+			So(behind, ShouldBeTrue)
+			So(since, ShouldEqual, 2*time.Second)
+			o.PutInForce(10)
+			_, behind = o.Behind()
+			So(behind, ShouldBeFalse)
+			So(o.Highest(), ShouldEqual, 10)
+		})
+		Convey("asks the last peer that reported a newer one, not at once and not too often", func() {
+			o.Heard(time.Second, "a", 6)
+			o.Heard(time.Second, "b", 6)
+			_, due := o.FetchDue(time.Second, 200*time.Millisecond)
+			So(due, ShouldBeFalse)
+			peer, due := o.FetchDue(1200*time.Millisecond, 200*time.Millisecond)
+			So(due, ShouldBeTrue)
+			So(peer, ShouldEqual, "b")
+			_, due = o.FetchDue(1300*time.Millisecond, 200*time.Millisecond)
+			So(due, ShouldBeFalse)
+			_, due = o.FetchDue(1200*time.Millisecond+fetchPeriod, 200*time.Millisecond)
+			So(due, ShouldBeTrue)
+		})
+		Convey("remembers a bounded number of generations, and the highest of all", func() {
+			for g := range uint64(10 * maxNewer) {
+				o.Heard(time.Duration(g), "a", 6+g)
+			}
+			So(len(o.newer), ShouldEqual, maxNewer)
+			So(o.Highest(), ShouldEqual, 5+10*maxNewer)
+		})
+		Convey("logs that it is behind, again and again, and when it no longer is", func() {
+			o.Heard(time.Second, "a", 6)
+			So(o.Notice(1500*time.Millisecond), ShouldBeFalse)
+			So(o.Notice(2*time.Second), ShouldBeTrue)
+			So(o.Notice(2100*time.Millisecond), ShouldBeFalse)
+			So(o.Notice(4*time.Second), ShouldBeTrue)
+			o.PutInForce(6)
+			So(o.Notice(4100*time.Millisecond), ShouldBeTrue)
+			So(o.Notice(4200*time.Millisecond), ShouldBeFalse)
+		})
+	})
+}
--- a/fleet/daemon/metrics.go
+++ b/fleet/daemon/metrics.go
@@ -14,7 +14,7 @@
 	loop     *runtime.Loop
 	requests activeRequestCounter
 
-	steps, peerDrops, platformDrops, refusals, generation, activeRequests *prometheus.Desc
+	steps, peerDrops, platformDrops, refusals, generation, knownGeneration, behind, activeRequests *prometheus.Desc
 }
 
 func desc(name, help string, labels ...string) *prometheus.Desc {
@@ -35,18 +35,20 @@
 func newCollector(loop *runtime.Loop, server activeRequestCounter) *collector {
 	return &collector{
 		loop: loop, requests: server,
-		steps:          desc("core_steps_total", "Events processed by the decision core."),
-		peerDrops:      desc("peer_messages_dropped_total", "Messages to peers that were dropped because the send queue was full."),
-		platformDrops:  desc("platform_calls_dropped_total", "Platform calls that were dropped because the call queue was full."),
-		refusals:       desc("refusals_total", "Refused requests by error kind.", "kind"),
-		generation:     desc("configuration_generation", "Generation of the configuration in force."),
-		activeRequests: desc("caller_requests", "Requests of callers in progress."),
+		steps:           desc("core_steps_total", "Events processed by the decision core."),
+		peerDrops:       desc("peer_messages_dropped_total", "Messages to peers that were dropped because the send queue was full."),
+		platformDrops:   desc("platform_calls_dropped_total", "Platform calls that were dropped because the call queue was full."),
+		refusals:        desc("refusals_total", "Refused requests by error kind.", "kind"),
+		generation:      desc("configuration_generation", "Generation of the configuration in force."),
+		knownGeneration: desc("configuration_generation_known", "Highest generation of the configuration that any instance is known to have in force."),
+		behind:          desc("configuration_behind_seconds", "Time for which this instance has known of a newer configuration than its own, 0 if it knows of none."),
+		activeRequests:  desc("caller_requests", "Requests of callers in progress."),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{c.steps, c.peerDrops, c.platformDrops, c.refusals, c.generation, c.activeRequests} {
+	for _, d := range []*prometheus.Desc{c.steps, c.peerDrops, c.platformDrops, c.refusals, c.generation, c.knownGeneration, c.behind, c.activeRequests} {
 		ch <- d
 	}
 }
@@ -72,6 +74,9 @@
 		generation = ix.Generation
 	}
 	gauge(c.generation, float64(generation))
+	known, behind := c.loop.Standing()
+	gauge(c.knownGeneration, float64(known))
+	gauge(c.behind, behind.Seconds())
 	gauge(c.activeRequests, float64(c.requests.ActiveRequests()))
 }
 
--- a/fleet/runtime/loop.go
+++ b/fleet/runtime/loop.go
@@ -52,6 +52,8 @@
 	peerMessages  chan event.SendPeer
 	targetProbes  chan event.ProbeTarget
 	index         atomic.Pointer[config.Index]
+	// standing is what the core last said of newer configurations.
+	standing atomic.Pointer[event.ConfigStanding]
 	// instances is the latest instance list.
 	instances    atomic.Pointer[[]event.Instance]
 	cacheCursors cacheEventCursors
@@ -71,6 +73,9 @@
 	// began is when the Loop was made, and progress the time from then until it last
 	// began to process something.
 	began time.Time
+	// startedAfter is the time from began until Run began, from which the core's time
+	// counts.
+	startedAfter atomic.Int64
 	// uptimeStart is the uptime when Run began.
 	uptimeStart time.Duration
 	progress    atomic.Int64
@@ -149,6 +154,19 @@
 // Index returns the configuration in force, or nil if there is none yet.
 func (l *Loop) Index() *config.Index { return l.index.Load() }
 
+// Standing returns the highest generation of the configuration that any instance is
+// known to have in force, and for how long this one has been behind.
+func (l *Loop) Standing() (highest uint64, behind time.Duration) {
+	s := l.standing.Load()
+	if s == nil {
+		return 0, 0
+	}
+	if s.Behind {
+		behind = max(0, time.Since(l.began)-time.Duration(l.startedAfter.Load())-s.Since)
+	}
+	return s.Highest, behind
+}
+
 // Following returns how closely the core wants the platform to be followed.
 func (l *Loop) Following() *Following { return l.following }
 
@@ -249,6 +267,7 @@
 	defer ticker.Stop()
 	start := time.Now()
 	l.uptimeStart = uptime()
+	l.startedAfter.Store(int64(start.Sub(l.began)))
 	l.progress.Store(int64(start.Sub(l.began)))
 	for {
 		var e event.Event
@@ -331,6 +350,8 @@
 		}
 	case a.AdoptConfig != nil:
 		l.adoptConfig(a.AdoptConfig)
+	case a.ConfigStanding != nil:
+		l.standing.Store(a.ConfigStanding)
 	case a.FollowPlatform != nil:
 		l.following.Set(a.FollowPlatform.Closely)
 	case a.LogEntry != nil:
