--- a/fleet/peers/peers.go
+++ b/fleet/peers/peers.go
@@ -88,6 +88,9 @@
 	outboxes map[string]chan event.SendPeer
 	// sent is what was sent since the last Sent. It is guarded by mu.
 	sent Sent
+	// large holds the addresses of the peers to which a large message is in progress. It
+	// is guarded by mu.
+	large map[string]bool
 }
 
 // Sent counts messages to peers.
@@ -127,7 +130,7 @@
 
 // NewSender returns a Sender that identifies itself as this instance.
 func NewSender(name, incarnation, peerKey string) *Sender {
-	return &Sender{name: name, incarnation: incarnation, peerKey: peerKey, outboxes: map[string]chan event.SendPeer{}}
+	return &Sender{name: name, incarnation: incarnation, peerKey: peerKey, outboxes: map[string]chan event.SendPeer{}, large: map[string]bool{}}
 }
 
 // Run sends messages until ctx ends. A message is dropped if the queue of its
@@ -173,8 +176,15 @@
 		case <-ctx.Done():
 			return
 		case m := <-box:
+			message, err := json.Marshal(m.Message)
+			if err == nil && len(message) >= largeMessageBytes {
+				s.sendLarge(ctx, address, message)
+				continue
+			}
 			began := time.Now()
-			err := s.send(ctx, peerpb.NewPeerClient(conn), m)
+			if err == nil {
+				err = s.deliver(ctx, peerpb.NewPeerClient(conn), message, sendTimeout)
+			}
 			s.count(time.Since(began), err)
 			if status.Code(err) != codes.DeadlineExceeded {
 				continue
@@ -189,20 +199,17 @@
 }
 
 // dial returns a connection to a peer, which is established when it is used.
-func dial(address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+func dial(address string, options ...grpc.DialOption) (*grpc.ClientConn, error) {
+	options = append(options, grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnectBackoff, MinConnectTimeout: sendTimeout}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(maxMessageBytes)))
+	return grpc.NewClient("passthrough:///"+address, options...)
 }
 
-// send sends one message; a nil error means that the peer has received it.
-func (s *Sender) send(ctx context.Context, client peerpb.PeerClient, m event.SendPeer) error {
-	raw, err := json.Marshal(m.Message)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(metadata.AppendToOutgoingContext(ctx, metadataKey, s.peerKey), sendTimeout)
+// deliver sends one encoded message; a nil error means that the peer has received it.
+func (s *Sender) deliver(ctx context.Context, client peerpb.PeerClient, message []byte, timeout time.Duration, options ...grpc.CallOption) error {
+	ctx, cancel := context.WithTimeout(metadata.AppendToOutgoingContext(ctx, metadataKey, s.peerKey), timeout)
 	defer cancel()
-	_, err = client.Deliver(ctx, &peerpb.Envelope{From: s.name, Incarnation: s.incarnation, Message: raw})
+	_, err := client.Deliver(ctx, &peerpb.Envelope{From: s.name, Incarnation: s.incarnation, Message: message}, options...)
 	return err
 }
--- a/fleet/peers/peers_test.go
+++ b/fleet/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -53,17 +54,24 @@
 // silence is called stay open and forward nothing more; new ones work.
 type silentProxy struct {
 	listener net.Listener
-	mu       sync.Mutex
+	// pause is how long each chunk of at most chunkBytes takes.
+	pause time.Duration
+	mu    sync.Mutex
 	// silenced is closed by the next call of silence. It is guarded by mu.
 	silenced chan struct{}
 }
 
-func newSilentProxy(to string) (*silentProxy, error) {
+const chunkBytes = 4096
+
+func newSilentProxy(to string) (*silentProxy, error) { return newSlowProxy(to, 0) }
+
+// newSlowProxy returns a proxy each connection of which takes a pause for each chunk.
+func newSlowProxy(to string, pause time.Duration) (*silentProxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &silentProxy{listener: l, silenced: make(chan struct{})}
+	p := &silentProxy{listener: l, pause: pause, silenced: make(chan struct{})}
 	go func() {
 		for {
 			from, err := l.Accept()
@@ -78,17 +86,18 @@
 			p.mu.Lock()
 			silenced := p.silenced
 			p.mu.Unlock()
-			go forward(target, from, silenced)
-			go forward(from, target, silenced)
+			go p.forward(target, from, silenced)
+			go p.forward(from, target, silenced)
 		}
 	}()
 	return p, nil
 }
 
-func forward(to, from net.Conn, silenced <-chan struct{}) {
-	buffer := make([]byte, 4096)
+func (p *silentProxy) forward(to, from net.Conn, silenced <-chan struct{}) {
+	buffer := make([]byte, chunkBytes)
 	for {
 		n, err := from.Read(buffer)
+		time.Sleep(p.pause)
 		select {
 		case <-silenced:
 			continue
@@ -111,21 +120,21 @@
 	p.silenced = make(chan struct{})
 }
 
-// receiver is a peer that signals each message that it receives.
+// receiver is a peer that sends the length of each message that it receives to received.
 type receiver struct {
 	peerpb.UnimplementedPeerServer
-	received chan struct{}
+	received chan int
 }
 
-func (r receiver) Deliver(context.Context, *peerpb.Envelope) (*peerpb.Receipt, error) {
-	r.received <- struct{}{}
+func (r receiver) Deliver(_ context.Context, e *peerpb.Envelope) (*peerpb.Receipt, error) {
+	r.received <- len(e.GetMessage())
 	return &peerpb.Receipt{}, nil
 }
 
 func TestSenderLeavesSilentConnection(t *testing.T) {
 	// Guards against a peer that hears nothing more because a connection has gone silent.
 	Convey("After a connection went silent without a reset, messages arrive over a new one", t, func() {
-		peer := receiver{received: make(chan struct{}, outboxMessages)}
+		peer := receiver{received: make(chan int, outboxMessages)}
 		server := grpc.NewServer()
 		peerpb.RegisterPeerServer(server, peer)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -151,6 +160,47 @@
 	})
 }
 
+func TestLargeMessageCrossesASlowLinkBesideSmallOnes(t *testing.T) {
+	// Guards against a configuration that no peer can send because it takes longer than a time-out, and heartbeats that wait behind it.
+	Convey("A message that takes several seconds arrives, and small ones arrive in the meantime", t, func() {
+		peer := receiver{received: make(chan int, outboxMessages)}
+		server := grpc.NewServer()
+		peerpb.RegisterPeerServer(server, peer)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		go func() { _ = server.Serve(l) }()
+		defer server.Stop()
+		proxy, err := newSlowProxy(l.Addr().String(), 40*time.Millisecond)
+		So(err, ShouldBeNil)
+		defer proxy.listener.Close()
+		messages := make(chan event.SendPeer)
+		go NewSender("b", "1", sharedKey).Run(t.Context(), messages)
+		stored := make([]byte, 300<<10)
+		rng := rand.New(rand.NewPCG(1, 1))
+		for i := range stored {
+			stored[i] = byte(rng.Uint32())
+		}
+		address := proxy.listener.Addr().String()
+		messages <- event.SendPeer{To: "a", Address: address, Message: event.PeerMessage{ConfigReply: &event.ConfigReply{Generation: 2, Stored: stored}}}
+		small := 0
+		deadline := time.After(20 * time.Second)
+		for {
+			select {
+			case length := <-peer.received:
+				if length > len(stored) {
+					So(small, ShouldBeGreaterThan, 5)
+					return
+				}
+				small++
+			case <-time.After(100 * time.Millisecond):
+				messages <- event.SendPeer{To: "a", Address: address, Message: event.PeerMessage{Heartbeat: &event.Heartbeat{}}}
+			case <-deadline:
+				So("no large message", ShouldEqual, "arrived")
+			}
+		}
+	})
+}
+
 func TestSenderWithoutTheKeyIsRejectedBeforeItsMessage(t *testing.T) {
 	// Guards against messages of strangers that are held until they are complete.
 	Convey("A sender without the key is rejected although none of its message has arrived", t, func() {
