Own interface: end calls of the platform that stand still, not those that are slow

The client of the object API bounded the whole of a call by platform.timeoutMillis, as the one of the users' store did: a long list, or any object on a slow link, never arrived.

Test: a response that takes eight time-outs to arrive, in parts, failed before ('context deadline exceeded', status unknown) and is read now; one that stands still ends the call.

--- a/fleet/platform/platform.go
+++ b/fleet/platform/platform.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"plantainfield.example/core/event"
+	"plantainfield.example/fleet/transfer"
 )
 
 const (
@@ -69,7 +70,7 @@
 }
 
 // NewClient returns a Client of the API at address, an IP:port. Each call
-// except a watch takes at most timeout.
+// except a watch ends once nothing of it is sent or received for timeout.
 func NewClient(address string, timeout time.Duration) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute}
 	return &Client{base: "http://" + address + basePath, timeout: timeout, http: &http.Client{Transport: transport}}
@@ -77,21 +78,25 @@
 
 // Do makes a call and classifies its result.
 func (c *Client) Do(ctx context.Context, call event.PlatformCall) event.PlatformResult {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
+	t := transfer.Begin(ctx, c.timeout)
+	defer t.End()
 	result := event.PlatformResult{Call: call.Call}
-	req, err := c.request(ctx, call)
+	req, err := c.request(t.Context(), call)
 	if err != nil {
 		result.Status = event.PlatformUnavailable
 		return result
 	}
+	if req.Body != nil {
+		req.Body = io.NopCloser(t.Reader(req.Body, c.timeout))
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		result.Status = failureStatus(call.Op, err)
 		return result
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	t.Progressed(c.timeout)
+	body, err := io.ReadAll(io.LimitReader(t.Reader(resp.Body, c.timeout), maxResponseBytes))
 	if err != nil {
 		result.Status = event.PlatformUnknown
 		return result
@@ -217,9 +222,9 @@
 // List returns all objects of a kind, and the resourceVersion from which to
 // watch them.
 func (c *Client) List(ctx context.Context, kind event.ObjectKind) ([]event.Object, string, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+Plural(kind), nil)
+	t := transfer.Begin(ctx, c.timeout)
+	defer t.End()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, c.base+Plural(kind), nil)
 	if err != nil {
 		return nil, "", err
 	}
@@ -228,11 +233,12 @@
 		return nil, "", err
 	}
 	defer resp.Body.Close()
+	t.Progressed(c.timeout)
 	if resp.StatusCode != http.StatusOK {
 		return nil, "", fmt.Errorf("list of %s: status %d", kind, resp.StatusCode)
 	}
 	var list ResourceList
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&list); err != nil {
+	if err := json.NewDecoder(io.LimitReader(t.Reader(resp.Body, c.timeout), maxResponseBytes)).Decode(&list); err != nil {
 		return nil, "", err
 	}
 	objects := make([]event.Object, 0, len(list.Items))
--- a/fleet/settings/settings.go
+++ b/fleet/settings/settings.go
@@ -41,7 +41,8 @@
 type Platform struct {
 	// Address is IP:port.
 	Address string `json:"address"`
-	// TimeoutMillis is the timeout of one call, in milliseconds.
+	// TimeoutMillis is the time, in milliseconds, after which a call ends of which nothing
+	// is sent or received any more.
 	TimeoutMillis int `json:"timeoutMillis" min:"1" max:"60000"`
 	// FleetCallsPerSecond is the maximum rate of calls by all instances
 	// together, in calls per second. Each instance gets an equal share.
