Deny nothing by a configuration that is known to be out of date

An instance whose configuration had not arrived answered 404 on a route of the newer one, although heartbeats of peers had told it that there is one. It stayed ready and was named to callers, however long it was behind.

While a newer generation is known, what would be denied for lack of a route, a key, a model, a service or a budget is refused with configuration_outdated (503, not run, to be tried elsewhere at once). An instance that has been behind for half of the bound of configurations is overdue: the newer one may also have moved routes or revoked keys, so it refuses all, is not ready and tells peers in its load messages, which don't name it to callers unless there is no other. core/outdated decides.

--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -40,6 +40,7 @@
 	StreamOriginUnknown       Kind = "stream_origin_unknown"
 	PlatformUnavailable       Kind = "platform_unavailable"
 	NotReady                  Kind = "not_ready"
+	Outdated                  Kind = "configuration_outdated"
 	Stopping                  Kind = "stopping"
 	Isolated                  Kind = "isolated"
 	CallerGone                Kind = "caller_gone"
@@ -118,6 +119,7 @@
 	StreamOriginUnknown:  {http.StatusServiceUnavailable, typeServer, RanNo, 1, "it is not known which software version began the stream"},
 	PlatformUnavailable:  {http.StatusServiceUnavailable, typeServer, RanNo, 5, "the platform's object API can't be reached"},
 	NotReady:             {http.StatusServiceUnavailable, typeServer, RanNo, 2, "the instance has no configuration yet"},
+	Outdated:             {http.StatusServiceUnavailable, typeServer, RanNo, 1, "the instance's configuration is out of date; others have a newer one"},
 	Stopping:             {http.StatusServiceUnavailable, typeServer, RanNo, 1, "the instance is stopping"},
 	Isolated:             {http.StatusServiceUnavailable, typeServer, RanNo, 5, "the instance reaches neither the platform nor a peer"},
 	CallerGone:           {statusClientClosedRequest, typeInvalid, RanUnknown, 0, "the caller closed the connection"},
--- a/core/event/action.go
+++ b/core/event/action.go
@@ -146,6 +146,9 @@
 	// first report of the oldest such one arrived.
 	Behind bool          `json:"behind,omitempty"`
 	Since  time.Duration `json:"since,omitempty"`
+	// Overdue is set if the instance has been behind for so long that it must not serve
+	// by its configuration.
+	Overdue bool `json:"overdue,omitempty"`
 	// Highest is the highest generation that any instance is known to have in force.
 	Highest uint64 `json:"highest"`
 }
--- a/core/event/peer.go
+++ b/core/event/peer.go
@@ -103,6 +103,8 @@
 	Requests float64 `json:"q,omitempty"`
 	// Unreached are the services of which the sender reaches no target.
 	Unreached []string `json:"x,omitempty"`
+	// Outdated is set while the sender's configuration is overdue.
+	Outdated bool `json:"o,omitempty"`
 }
 
 // TargetLoad is one instance's load at a target. Its JSON names are short
--- a/core/node/configs.go
+++ b/core/node/configs.go
@@ -32,10 +32,8 @@
 	stored config.Stored
 	// raw is the JSON of stored. It may be nil until it is needed.
 	raw []byte
-	// newer tracks the generations that peers have in force, and standing is what the
-	// driver was last told of them.
-	newer    outdated.Tracker
-	standing event.ConfigStanding
+	// newer tracks the generations that peers have in force.
+	newer outdated.Tracker
 
 	nextPoll time.Duration
 	polling  bool
@@ -71,7 +69,10 @@
 func (n *Node) tickConfig() {
 	n.tickApplies()
 	n.fetchFromPeer()
-	n.logStanding()
+	n.announceStanding()
+	if subject, behind, due := n.configs.newer.Notice(n.now); due {
+		n.logChange(subject, "generation", n.configs.generation(), "highest_known", n.configs.highestKnown(), "behind", behind, "since_peer_heard", n.now-n.members.lastHeard)
+	}
 	if n.settings.Disabled.ConfigurationStore || n.configs.polling || n.now < n.configs.nextPoll {
 		return
 	}
@@ -181,26 +182,11 @@
 // announceStanding tells the driver which newer configuration is known, if that has
 // changed.
 func (n *Node) announceStanding() {
-	since, behind := n.configs.newer.Behind()
-	if s := (event.ConfigStanding{Behind: behind, Since: since, Highest: n.configs.highestKnown()}); s != n.configs.standing {
-		n.configs.standing = s
+	if s, changed := n.configs.newer.Standing(n.now, n.settings.ConfigBound); changed {
 		n.emit(event.Action{ConfigStanding: &s})
 	}
 }
 
-// logStanding logs for how long this instance has been behind.
-func (n *Node) logStanding() {
-	c := &n.configs
-	if !c.newer.Notice(n.now) {
-		return
-	}
-	if since, behind := c.newer.Behind(); behind {
-		n.logChange("configuration outdated", "generation", c.generation(), "highest_known", c.highestKnown(), "behind", n.now-since, "since_peer_heard", n.now-n.members.lastHeard)
-	} else {
-		n.logChange("configuration up to date", "generation", c.generation())
-	}
-}
-
 // fetchFromPeer asks a peer for its newer configuration if the platform has had
 // time to deliver it.
 func (n *Node) fetchFromPeer() {
--- a/core/node/loads.go
+++ b/core/node/loads.go
@@ -26,8 +26,8 @@
 			targets = append(targets, event.TargetLoad{Target: name, PrefillTokens: t.prefillTokens, Running: t.inFlight})
 		}
 	}
-	load := event.Loads{Targets: targets, Requests: n.members.arrivals.At(n.now), Unreached: n.reach.Services()}
-	empty := len(load.Targets) == 0 && len(load.Unreached) == 0
+	load := event.Loads{Targets: targets, Requests: n.members.arrivals.At(n.now), Unreached: n.reach.Services(), Outdated: n.configs.newer.Overdue()}
+	empty := len(load.Targets) == 0 && len(load.Unreached) == 0 && !load.Outdated
 	if empty && n.members.lastLoadsEmpty {
 		return
 	}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -46,6 +46,9 @@
 	// Policies applies where the platform stores the configuration, since that
 	// configuration contains no policies.
 	Policies config.Policies `json:"policies"`
+	// ConfigBound is the time after its acceptance within which a configuration must be
+	// in force at each instance; 0 for outdated.DefaultBound.
+	ConfigBound time.Duration `json:"configBound,omitempty"`
 	// SoleProcess is set if the platform runs at most one process of an instance at a
 	// time, so that a later incarnation proves that the earlier one has ended.
 	SoleProcess bool `json:"soleProcess,omitempty"`
--- a/core/node/servinginstances.go
+++ b/core/node/servinginstances.go
@@ -69,13 +69,13 @@
 }
 
 // availableInstances returns the instances that can serve callers, as far as
-// this one knows. Those that reach no target at all are left out unless there are
-// no others.
+// this one knows. Those that reach no target at all, or whose configuration is
+// overdue, are left out unless there are no others.
 func (n *Node) availableInstances() []event.Instance {
 	var reaching, others []event.Instance
 	services := n.members.servicesWithTargets()
 	if n.ready() && !n.stopping && n.members.self.Address != "" {
-		if reach.None(services, n.reach.Services()) {
+		if n.configs.newer.Overdue() || reach.None(services, n.reach.Services()) {
 			others = append(others, n.members.self)
 		} else {
 			reaching = append(reaching, n.members.self)
@@ -85,7 +85,7 @@
 		p := n.members.peers[name]
 		switch {
 		case !n.live(p) && !n.mayServe(p):
-		case reach.None(services, p.loads.Unreached(n.now)):
+		case p.loads.Outdated(n.now) || reach.None(services, p.loads.Unreached(n.now)):
 			others = append(others, p.Instance)
 		default:
 			reaching = append(reaching, p.Instance)
--- a/core/outdated/outdated.go
+++ b/core/outdated/outdated.go
@@ -2,7 +2,11 @@
 // does not: since when it is behind, and when to ask which peer for the newest.
 package outdated
 
-import "time"
+import (
+	"time"
+
+	"plantainfield.example/core/event"
+)
 
 const (
 	// maxNewer bounds the generations that are remembered.
@@ -13,6 +17,12 @@
 	// and noticePeriod the time between two such reports.
 	noticeAfter  = time.Second
 	noticePeriod = 2 * time.Second
+	// DefaultBound is the time after its acceptance within which a configuration must be in
+	// force at each instance where the platform doesn't state one.
+	DefaultBound = 4 * time.Second
+	// overdueDivisor divides the time within which a configuration must be in force into
+	// that in which the news of it may travel and that in which an instance may be behind.
+	overdueDivisor = 2
 )
 
 // heard is a generation that a peer has in force.
@@ -33,6 +43,7 @@
 	peer       string
 	nextFetch  time.Duration
 	nextNotice time.Duration
+	standing   event.ConfigStanding
 	// noticed is set while the last report says that the instance is behind.
 	noticed bool
 }
@@ -71,6 +82,10 @@
 	return t.newer[len(t.newer)-1].generation
 }
 
+// Overdue reports whether the instance must not serve by its configuration, as of the
+// last Standing.
+func (t *Tracker) Overdue() bool { return t.standing.Overdue }
+
 // Behind reports whether a newer generation than the one in force is known, and since
 // when the oldest of those is.
 func (t *Tracker) Behind() (since time.Duration, behind bool) {
@@ -90,18 +105,32 @@
 	return t.peer, true
 }
 
-// Notice returns whether the instance's state is to be logged now: each noticePeriod
-// while it is behind, and once when it no longer is.
-func (t *Tracker) Notice(now time.Duration) bool {
+// Standing returns what the driver must know of the instance's configuration, which has
+// to be in force within bound of its acceptance (DefaultBound if that is 0), and whether
+// that has changed since the last call.
+func (t *Tracker) Standing(now, bound time.Duration) (s event.ConfigStanding, changed bool) {
+	if bound <= 0 {
+		bound = DefaultBound
+	}
 	since, behind := t.Behind()
-	if !behind {
-		ended := t.noticed
-		t.noticed = false
-		return ended
+	s = event.ConfigStanding{Behind: behind, Since: since, Highest: t.Highest()}
+	s.Overdue = behind && now-since >= bound/overdueDivisor
+	changed = s != t.standing
+	t.standing = s
+	return s, changed
+}
+
+// Notice returns what is to be logged now of the instance's state, if anything: each
+// noticePeriod while it is behind, and once when it no longer is.
+func (t *Tracker) Notice(now time.Duration) (subject string, behind time.Duration, due bool) {
+	since, isBehind := t.Behind()
+	if !isBehind {
+		due, t.noticed = t.noticed, false
+		return "configuration up to date", 0, due
 	}
-	if now-since < noticeAfter || t.noticed && now < t.nextNotice {
-		return false
+	if behind = now - since; behind < noticeAfter || t.noticed && now < t.nextNotice {
+		return "", 0, false
 	}
 	t.noticed, t.nextNotice = true, now+noticePeriod
-	return true
+	return "configuration outdated", behind, true
 }
--- a/core/outdated/outdated_test.go
+++ b/core/outdated/outdated_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"plantainfield.example/core/event"
 )
 
 func TestTracker(t *testing.T) {
@@ -51,15 +53,38 @@
 			So(len(o.newer), ShouldEqual, maxNewer)
 			So(o.Highest(), ShouldEqual, 5+10*maxNewer)
 		})
+		Convey("is overdue after half of the time in which a configuration must be in force", func() {
+			const bound = 3 * time.Second
+			o.Standing(0, bound)
+			o.Heard(time.Second, "a", 6)
+			s, changed := o.Standing(time.Second, bound)
+			So(changed, ShouldBeTrue)
+			So(s, ShouldResemble, event.ConfigStanding{Behind: true, Since: time.Second, Highest: 6})
+			_, changed = o.Standing(2*time.Second, bound)
+			So(changed, ShouldBeFalse)
+			s, changed = o.Standing(2500*time.Millisecond, bound)
+			So(changed, ShouldBeTrue)
+			So(s.Overdue, ShouldBeTrue)
+			o.PutInForce(6)
+			s, _ = o.Standing(3*time.Second, bound)
+			So(s, ShouldResemble, event.ConfigStanding{Highest: 6})
+		})
 		Convey("logs that it is behind, again and again, and when it no longer is", func() {
+			logged := func(now time.Duration) string {
+				subject, _, due := o.Notice(now)
+				if !due {
+					return ""
+				}
+				return subject
+			}
 			o.Heard(time.Second, "a", 6)
-			So(o.Notice(1500*time.Millisecond), ShouldBeFalse)
-			So(o.Notice(2*time.Second), ShouldBeTrue)
-			So(o.Notice(2100*time.Millisecond), ShouldBeFalse)
-			So(o.Notice(4*time.Second), ShouldBeTrue)
+			So(logged(1500*time.Millisecond), ShouldBeEmpty)
+			So(logged(2*time.Second), ShouldEqual, "configuration outdated")
+			So(logged(2100*time.Millisecond), ShouldBeEmpty)
+			So(logged(4*time.Second), ShouldEqual, "configuration outdated")
 			o.PutInForce(6)
-			So(o.Notice(4100*time.Millisecond), ShouldBeTrue)
-			So(o.Notice(4200*time.Millisecond), ShouldBeFalse)
+			So(logged(4100*time.Millisecond), ShouldEqual, "configuration up to date")
+			So(logged(4200*time.Millisecond), ShouldBeEmpty)
 		})
 	})
 }
--- a/core/peerload/peerload.go
+++ b/core/peerload/peerload.go
@@ -59,6 +59,8 @@
 	Requests float64
 	// unreached are the services of which the peer reaches no target.
 	unreached []string
+	// outdated is set if the peer's configuration is overdue.
+	outdated bool
 	// parts is the work by target, in the parts in which it was sent.
 	parts []map[string]placement.Work
 }
@@ -76,7 +78,7 @@
 	if len(p.parts) != parts {
 		p.parts = make([]map[string]placement.Work, parts)
 	}
-	p.At, p.Requests, p.unreached = now, m.Requests, m.Unreached
+	p.At, p.Requests, p.unreached, p.outdated = now, m.Requests, m.Unreached, m.Outdated
 	p.parts[m.Part] = work
 	return nil
 }
@@ -96,6 +98,10 @@
 	return p.unreached
 }
 
+// Outdated reports whether the peer's configuration is overdue, so that it refuses
+// callers.
+func (p *Peer) Outdated(now time.Duration) bool { return p.outdated && now-p.At < messageTimeout }
+
 // Working reports whether the peer recently had work at targets.
 func (p *Peer) Working(now time.Duration) bool {
 	return p.Recent(now) && slices.ContainsFunc(p.parts, func(part map[string]placement.Work) bool { return len(part) > 0 })
--- a/core/reach/refusal.go
+++ b/core/reach/refusal.go
@@ -49,7 +49,7 @@
 // of the request, its budget or the targets.
 func otherPeerMayServe(kind errkind.Kind) bool {
 	switch kind {
-	case errkind.None, errkind.NotReady, errkind.Stopping, errkind.Isolated, errkind.NoTarget, errkind.TargetNotStarted, errkind.TooManyStreams, errkind.InstanceOverloaded,
+	case errkind.None, errkind.NotReady, errkind.Outdated, errkind.Stopping, errkind.Isolated, errkind.NoTarget, errkind.TargetNotStarted, errkind.TooManyStreams, errkind.InstanceOverloaded,
 		errkind.MemoryExhausted,
 		errkind.UnknownPath, errkind.Unauthenticated:
 		return true
--- a/fleet/callers/callers_test.go
+++ b/fleet/callers/callers_test.go
@@ -35,6 +35,7 @@
 }
 
 func (c *fakeCore) Index() *config.Index                { return nil }
+func (c *fakeCore) Standing() event.ConfigStanding      { return event.ConfigStanding{} }
 func (c *fakeCore) Open() (uint64, <-chan event.Action) { return 1, c.actions }
 func (c *fakeCore) Close(uint64)                        {}
 func (c *fakeCore) Ended() <-chan struct{}              { return c.ended }
--- a/fleet/callers/chat.go
+++ b/fleet/callers/chat.go
@@ -60,7 +60,7 @@
 	}
 	model := c.index.Model(req.Model)
 	if model == nil {
-		return nil, apierror.New(errkind.UnknownModel, "")
+		return nil, apierror.New(s.denial(errkind.UnknownModel), "")
 	}
 	output, err := maxOutputTokens(req, model)
 	if err != nil {
--- a/fleet/callers/server.go
+++ b/fleet/callers/server.go
@@ -20,6 +20,7 @@
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/outdated"
 	"plantainfield.example/fleet/apierror"
 	"plantainfield.example/fleet/clientconn"
 	"plantainfield.example/fleet/engine"
@@ -43,6 +44,8 @@
 type Core interface {
 	// Index returns the configuration in force, or nil if there is none yet.
 	Index() *config.Index
+	// Standing returns what is known of newer configurations.
+	Standing() event.ConfigStanding
 	// Open returns a new handle and the channel of its actions. Close releases
 	// the handle.
 	Open() (uint64, <-chan event.Action)
@@ -128,6 +131,9 @@
 	if ix == nil {
 		return caller{}, apierror.New(errkind.NotReady, "")
 	}
+	if s.loop.Standing().Overdue {
+		return caller{}, apierror.New(errkind.Outdated, "")
+	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return caller{}, apierror.New(errkind.Unauthenticated, "the Authorization header has no bearer key")
@@ -135,18 +141,24 @@
 	sum := sha256.Sum256([]byte(key))
 	owner, ok := ix.KeyOwner(hex.EncodeToString(sum[:]))
 	if !ok {
-		return caller{}, apierror.New(errkind.Unauthenticated, "")
+		return caller{}, apierror.New(s.denial(errkind.Unauthenticated), "")
 	}
 	if name := r.Header.Get(headerBudget); name != "" {
 		b := ix.Budget(name)
 		if b == nil || b.Customer != owner.Customer {
-			return caller{}, apierror.New(errkind.UnknownBudget, "")
+			return caller{}, apierror.New(s.denial(errkind.UnknownBudget), "")
 		}
 		owner.Budget = name
 	}
 	return caller{owner, ix}, nil
 }
 
+// denial returns the error kind with which to refuse a request for what the
+// configuration in force doesn't have.
+func (s *Server) denial(kind errkind.Kind) errkind.Kind {
+	return outdated.Denial(kind, s.loop.Standing())
+}
+
 // idempotencyKey returns the caller's idempotency key, or a new random one.
 func idempotencyKey(r *http.Request) (string, error) {
 	key := r.Header.Get(headerKey)
--- a/fleet/callers/service.go
+++ b/fleet/callers/service.go
@@ -46,7 +46,7 @@
 	}
 	svc := c.index.Service(mux.Vars(r)["service"])
 	if svc == nil {
-		apierror.Write(w, apierror.BodyOf(errkind.UnknownService, "", "", 0))
+		apierror.Write(w, apierror.BodyOf(s.denial(errkind.UnknownService), "", "", 0))
 		return
 	}
 	body, err := s.readBody(w, r, settings.ServiceCopies)
--- a/fleet/daemon/hosted.go
+++ b/fleet/daemon/hosted.go
@@ -42,6 +42,9 @@
 	// MaxObjectBytes is the largest size of an object that the platform stores, or 0
 	// if it is not known.
 	MaxObjectBytes int
+	// ConfigBound is the time after its acceptance within which a configuration must be
+	// in force, or 0 if it is not known.
+	ConfigBound time.Duration
 	// GracePeriod is the time from the stop signal until the process must have
 	// exited.
 	GracePeriod time.Duration
@@ -99,7 +102,7 @@
 	loop := runtime.NewLoop(node.Settings{
 		Name: id.name, Incarnation: id.incarnation, DataCentre: adapter.Self.DataCentre, LedgerShards: adapter.Settings.LedgerShards, Self: adapter.Self,
 		Disabled: node.Features{Bills: true, BegunRecords: true, ConfigurationStore: true, TargetReports: true, QuarantineClaims: true},
-		Policies: hostedPolicies(adapter), SoleProcess: true, MaxObjectBytes: adapter.MaxObjectBytes,
+		Policies: hostedPolicies(adapter), SoleProcess: true, MaxObjectBytes: adapter.MaxObjectBytes, ConfigBound: adapter.ConfigBound,
 	})
 	loop.SetTickPeriod(hostedTickPeriod)
 	loop.SetPanicHandler(func(f runtime.Failure) { logPanic(log, f) })
--- a/fleet/daemon/metrics.go
+++ b/fleet/daemon/metrics.go
@@ -74,9 +74,8 @@
 		generation = ix.Generation
 	}
 	gauge(c.generation, float64(generation))
-	known, behind := c.loop.Standing()
-	gauge(c.knownGeneration, float64(known))
-	gauge(c.behind, behind.Seconds())
+	gauge(c.knownGeneration, float64(c.loop.Standing().Highest))
+	gauge(c.behind, c.loop.BehindFor().Seconds())
 	gauge(c.activeRequests, float64(c.requests.ActiveRequests()))
 }
 
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -16,6 +16,7 @@
 	"plantainfield.example/core/config"
 	"plantainfield.example/core/errkind"
 	"plantainfield.example/core/event"
+	"plantainfield.example/core/outdated"
 	"plantainfield.example/core/placement"
 	"plantainfield.example/fleet/clientconn"
 	"plantainfield.example/fleet/logring"
@@ -85,7 +86,9 @@
 }
 
 // Ready reports whether the instance accepts callers.
-func (s *Server) Ready() bool { return s.loop.Index() != nil && !s.stopping.Load() }
+func (s *Server) Ready() bool {
+	return s.loop.Index() != nil && !s.stopping.Load() && !s.loop.Standing().Overdue
+}
 
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -109,14 +112,19 @@
 		s.refuseEarly(w, r, errkind.NotReady, arrived, "")
 		return
 	}
+	standing := s.loop.Standing()
+	if standing.Overdue {
+		s.refuseEarly(w, r, errkind.Outdated, arrived, "")
+		return
+	}
 	route := index.Route(r.Host, r.URL.Path)
 	if route == nil {
-		s.refuseEarly(w, r, errkind.UnknownPath, arrived, "")
+		s.refuseEarly(w, r, outdated.Denial(errkind.UnknownPath, standing), arrived, "")
 		return
 	}
 	owner, known := ownerOf(index, route, meta.APIKey)
 	if !known {
-		s.refuseEarly(w, r, errkind.Unauthenticated, arrived, "")
+		s.refuseEarly(w, r, outdated.Denial(errkind.Unauthenticated, standing), arrived, "")
 		return
 	}
 	if admitted, retryAfter := s.admission.admit(owner.Customer); !admitted {
@@ -247,6 +255,9 @@
 // core.
 func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, kind errkind.Kind, arrived time.Time, detail string) {
 	after := time.Duration(errkind.Lookup(kind).RetryAfterSeconds) * time.Second
+	if kind == errkind.Outdated {
+		after = outdated.RetryAfter
+	}
 	if kind != errkind.MemoryExhausted { // which clientconn logs, at a bounded rate
 		s.log.Info("request refused", zap.String("kind", string(kind)), zap.Duration("age", time.Since(arrived)), zap.String("host", r.Host), zap.String("path", r.URL.Path), zap.String("detail", detail))
 	}
--- a/fleet/runtime/loop.go
+++ b/fleet/runtime/loop.go
@@ -154,17 +154,22 @@
 // Index returns the configuration in force, or nil if there is none yet.
 func (l *Loop) Index() *config.Index { return l.index.Load() }
 
-// Standing returns the highest generation of the configuration that any instance is
-// known to have in force, and for how long this one has been behind.
-func (l *Loop) Standing() (highest uint64, behind time.Duration) {
-	s := l.standing.Load()
-	if s == nil {
-		return 0, 0
+// Standing returns what the core last said of newer configurations.
+func (l *Loop) Standing() event.ConfigStanding {
+	if s := l.standing.Load(); s != nil {
+		return *s
 	}
-	if s.Behind {
-		behind = max(0, time.Since(l.began)-time.Duration(l.startedAfter.Load())-s.Since)
+	return event.ConfigStanding{}
+}
+
+// BehindFor returns for how long a newer configuration than the one in force has been
+// known, 0 if none is.
+func (l *Loop) BehindFor() time.Duration {
+	s := l.Standing()
+	if !s.Behind {
+		return 0
 	}
-	return s.Highest, behind
+	return max(0, time.Since(l.began)-time.Duration(l.startedAfter.Load())-s.Since)
 }
 
 // Following returns how closely the core wants the platform to be followed.
