Take a ledger view to be as old as the beginning of its response

A view of the ledger counted as new when its last byte arrived, and a view at most 2 s old refuses requests at once. The platform's clients now say when a response began, and the core counts its age from then.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -281,6 +281,9 @@
 	// Era is the store's era in which it answered, or 0 if there was no answer or
 	// the store has no eras.
 	Era uint64 `json:"era,omitempty"`
+	// Age is how long before the result the platform had begun to answer: what the
+	// answer shows is that old.
+	Age time.Duration `json:"age,omitempty"`
 }
 
 // EraSeen reports the era of an answer of the store to a call that the core did
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -374,12 +374,12 @@
 	n.callPlatform(event.OpGet, s.object(), func(r event.PlatformResult) {
 		switch r.Status {
 		case event.PlatformOK:
-			if !n.setLedgerView(s, r.Object) {
+			if !n.setLedgerView(s, r) {
 				n.failLedgerUpdate(s)
 				return
 			}
 		case event.PlatformNotFound:
-			s.version, s.shard, s.known, s.summary, s.seenAt = "", &ledger.Shard{}, true, false, n.now
+			s.version, s.shard, s.known, s.summary, s.seenAt = "", &ledger.Shard{}, true, false, n.now-r.Age
 			n.eras.Seen(s.index, s.shard)
 		default:
 			n.failLedgerUpdate(s)
@@ -390,15 +390,16 @@
 	})
 }
 
-func (n *Node) setLedgerView(s *ledgerShard, o event.Object) bool {
+func (n *Node) setLedgerView(s *ledgerShard, r event.PlatformResult) bool {
 	// Replaces the view of a shard by the object that the platform returned. The
 	// result is false if the object can't be decoded.
+	o := r.Object
 	shard, err := ledger.Decode(o.Value)
 	if err != nil {
 		n.logChange("ledger object unusable", "object", o.Name, "version", o.Version, "error", err.Error())
 		return false
 	}
-	s.version, s.shard, s.bytes, s.known, s.summary, s.seenAt = o.Version, shard, len(o.Value), true, false, n.now
+	s.version, s.shard, s.bytes, s.known, s.summary, s.seenAt = o.Version, shard, len(o.Value), true, false, n.now-r.Age
 	n.eras.Seen(s.index, shard)
 	return true
 }
@@ -466,7 +467,7 @@
 	n.callPlatform(op, o, func(r event.PlatformResult) {
 		switch r.Status {
 		case event.PlatformOK:
-			s.version, s.shard, s.bytes, s.seenAt = r.Object.Version, next, len(raw), n.now
+			s.version, s.shard, s.bytes, s.seenAt = r.Object.Version, next, len(raw), n.now-r.Age
 			n.eras.Seen(s.index, next)
 			n.observeUpdateTime(s)
 			n.logLedgerUpdate(s, len(ops), len(remote), size.Skipped())
@@ -478,7 +479,7 @@
 		case event.PlatformUnavailable, event.PlatformTooLarge:
 			n.failLedgerUpdate(s)
 		case event.PlatformConflict:
-			n.ledgerConflict(s, r.Object)
+			n.ledgerConflict(s, r)
 		default: // the result was lost: read the object back
 			s.known = false
 			n.readAfterConflict(s)
@@ -535,9 +536,9 @@
 
 // ledgerConflict retries an update after another instance wrote the shard
 // first.
-func (n *Node) ledgerConflict(s *ledgerShard, current event.Object) {
+func (n *Node) ledgerConflict(s *ledgerShard, r event.PlatformResult) {
 	s.known = false
-	if current.Value == nil || !n.setLedgerView(s, current) {
+	if r.Object.Value == nil || !n.setLedgerView(s, r) {
 		n.readAfterConflict(s)
 		return
 	}
--- a/fleet/platform/platform.go
+++ b/fleet/platform/platform.go
@@ -95,12 +95,14 @@
 		return result
 	}
 	defer resp.Body.Close()
+	began := time.Now()
 	t.Progressed(c.timeout)
 	body, err := io.ReadAll(io.LimitReader(t.Reader(resp.Body, c.timeout), maxResponseBytes))
 	if err != nil {
 		result.Status = event.PlatformUnknown
 		return result
 	}
+	result.Age = time.Since(began)
 	c.setResult(&result, call, resp.StatusCode, body)
 	return result
 }
