--- a/core/node/applies.go
+++ b/core/node/applies.go
@@ -130,7 +130,7 @@
 // writeForApply replaces the stored configuration. The new generation is higher
 // than all known ones, even if the platform has lost one.
 func (n *Node) writeForApply(a *apply, found *config.Stored, version string) {
-	current := max(found.Generation, n.configs.highestKnown())
+	current := max(found.Generation, n.configs.newer.Highest())
 	if a.document.BasedOnGeneration != current {
 		n.refuseApply(a, found, current)
 		return
--- a/core/node/configs.go
+++ b/core/node/configs.go
@@ -58,10 +58,6 @@
 	return c.raw
 }
 
-// highestKnown returns the highest generation that is known to be in force at
-// any instance.
-func (c *configState) highestKnown() uint64 { return c.newer.Highest() }
-
 func configObject() event.Object {
 	return event.Object{Kind: event.KindConfiguration, Name: configName}
 }
@@ -71,7 +67,7 @@
 	n.fetchFromPeer()
 	n.announceStanding()
 	if subject, behind, due := n.configs.newer.Notice(n.now); due {
-		n.logChange(subject, "generation", n.configs.generation(), "highest_known", n.configs.highestKnown(), "behind", behind, "since_peer_heard", n.now-n.members.lastHeard)
+		n.logChange(subject, "generation", n.configs.generation(), "highest_known", n.configs.newer.Highest(), "behind", behind, "since_peer_heard", n.now-n.members.lastHeard)
 	}
 	if n.settings.Disabled.ConfigurationStore || n.configs.polling || n.now < n.configs.nextPoll {
 		return
@@ -171,9 +167,8 @@
 // peerGenerationSeen records a peer's generation. If it is newer than the one
 // in force, the platform is asked for it first, and then the peer.
 func (n *Node) peerGenerationSeen(from string, generation uint64) {
-	c := &n.configs
-	if c.newer.Heard(n.now, from, generation) {
-		c.nextPoll = min(c.nextPoll, n.now+backoff.Jittered(peerFetchDelay/2, n.rng))
+	if n.configs.newer.Heard(n.now, from, generation) {
+		n.configs.nextPoll = min(n.configs.nextPoll, n.now+backoff.Jittered(peerFetchDelay/2, n.rng))
 	}
 	n.announceStanding()
 	n.fetchFromPeer()
@@ -192,13 +187,12 @@
 func (n *Node) fetchFromPeer() {
 	c := &n.configs
 	delay := peerFetchDelay
-	switch {
-	case n.settings.Disabled.ConfigurationStore:
+	if n.settings.Disabled.ConfigurationStore {
 		delay = hostedPeerFetchDelay
-	case !c.polledOnce:
-		return
-	case c.pollFailed:
+	} else if c.pollFailed {
 		delay = 0
+	} else if !c.polledOnce {
+		return
 	}
 	if peer, due := c.newer.FetchDue(n.now, delay); due {
 		n.send(peer, event.PeerMessage{ConfigRequest: &event.ConfigRequest{NewerThan: c.generation()}})
--- a/core/node/following.go
+++ b/core/node/following.go
@@ -37,7 +37,7 @@
 	f.nextCheck = n.now + followCheckPeriod
 	if loosely := n.mayFollowLoosely(); loosely != f.loosely {
 		f.loosely = loosely
-		n.logChange("following platform", "closely", !loosely, "generation", n.configs.generation(), "highest_known", n.configs.highestKnown(), "since_peer_heard", n.now-n.members.lastHeard)
+		n.logChange("following platform", "closely", !loosely, "generation", n.configs.generation(), "highest_known", n.configs.newer.Highest(), "since_peer_heard", n.now-n.members.lastHeard)
 		n.emit(event.Action{FollowPlatform: &event.FollowPlatform{Closely: !loosely}})
 	}
 }
@@ -51,5 +51,5 @@
 	case n.servesCallers() || f.lastRequest > 0 && n.now-f.lastRequest < quietAfter:
 		return false
 	}
-	return n.now-max(n.members.lastHeard, n.resumedAt) < maxPeerSilence && n.configs.highestKnown() == n.configs.generation()
+	return n.now-max(n.members.lastHeard, n.resumedAt) < maxPeerSilence && n.configs.newer.Highest() == n.configs.generation()
 }
--- a/core/node/ledgers.go
+++ b/core/node/ledgers.go
@@ -393,13 +393,12 @@
 func (n *Node) setLedgerView(s *ledgerShard, r event.PlatformResult) bool {
 	// Replaces the view of a shard by the object that the platform returned. The
 	// result is false if the object can't be decoded.
-	o := r.Object
-	shard, err := ledger.Decode(o.Value)
+	shard, err := ledger.Decode(r.Object.Value)
 	if err != nil {
-		n.logChange("ledger object unusable", "object", o.Name, "version", o.Version, "error", err.Error())
+		n.logChange("ledger object unusable", "object", r.Object.Name, "version", r.Object.Version, "error", err.Error())
 		return false
 	}
-	s.version, s.shard, s.bytes, s.known, s.summary, s.seenAt = o.Version, shard, len(o.Value), true, false, n.now-r.Age
+	s.version, s.shard, s.bytes, s.known, s.summary, s.seenAt = r.Object.Version, shard, len(r.Object.Value), true, false, n.now-r.Age
 	n.eras.Seen(s.index, shard)
 	return true
 }
