Deny no budget and no body by limits that a newer configuration may have raised

The same cause elsewhere: a request was refused for good, with 402 or 413, by a total or a largest body that the instance knew to be out of date, after an operator had raised it.

While a newer generation is known, both are configuration_outdated (503, not run).

--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -148,7 +148,7 @@
 
 // budgetRefusal returns the kind of a refusal for lack of tokens: the budget counts
 // as exhausted only if what its holders have reported as spent leaves too little.
-// What they hold, and what a holder that is gone has not reported, may come back.
+// What holders have or did not report may come back, a newer configuration raise the total.
 func (n *Node) budgetRefusal(r *request, kind errkind.Kind) errkind.Kind {
 	if kind != errkind.BudgetExhausted {
 		return kind
@@ -157,7 +157,7 @@
 	if n.totalInForce(r.Budget, b)-b.Consumed() >= r.WorstCaseTokens {
 		return errkind.BudgetUnsettled
 	}
-	return kind
+	return n.configs.newer.Denial(kind)
 }
 
 // lastKnown returns a budget as it was when the ledger was last seen.
--- a/core/node/unsettled_test.go
+++ b/core/node/unsettled_test.go
@@ -62,3 +62,16 @@
 		So(h.node.budgetRefusal(r, errkind.BudgetExhausted), ShouldEqual, errkind.BudgetExhausted)
 	})
 }
+
+func TestTotalThatANewerConfigurationMayRaiseIsNotExhausted(t *testing.T) {
+	// Guards against a 402 by a total of which the instance knows that a newer configuration may have raised it.
+	Convey("An instance that hears of a newer configuration doesn't refuse as exhausted until it has it", t, func() {
+		h := newHosted()
+		r := &request{RequestArrived: event.RequestArrived{Budget: "b", WorstCaseTokens: 200_000}}
+		So(h.node.budgetRefusal(r, errkind.BudgetExhausted), ShouldEqual, errkind.BudgetExhausted)
+		h.step(event.Event{PeerReceived: &event.PeerReceived{From: "n2", Message: event.PeerMessage{Heartbeat: &event.Heartbeat{Generation: 2}}}})
+		So(h.node.budgetRefusal(r, errkind.BudgetExhausted), ShouldEqual, errkind.Outdated)
+		h.configure(2, 100_000)
+		So(h.node.budgetRefusal(r, errkind.BudgetExhausted), ShouldEqual, errkind.BudgetExhausted)
+	})
+}
--- a/core/outdated/denial.go
+++ b/core/outdated/denial.go
@@ -12,7 +12,13 @@
 const RetryAfter = 50 * time.Millisecond
 
 // Denial returns the error kind with which to refuse a request for what the
-// configuration in force doesn't have: denied, unless a newer one may have it.
+// configuration in force doesn't have or allow: denied, unless a newer one may.
+func (t *Tracker) Denial(denied errkind.Kind) errkind.Kind {
+	_, behind := t.Behind()
+	return Denial(denied, event.ConfigStanding{Behind: behind})
+}
+
+// Denial is Tracker.Denial for the driver, to which the core has told its standing.
 func Denial(denied errkind.Kind, s event.ConfigStanding) errkind.Kind {
 	if s.Behind {
 		return errkind.Outdated
--- a/fleet/gateway/server.go
+++ b/fleet/gateway/server.go
@@ -143,6 +143,9 @@
 	}
 	var kind errkind.Kind
 	if x.body, kind = s.readBody(w, r, conn, index.Routing.CallerLimits, x.deadline()); kind != errkind.None {
+		if kind == errkind.BodyTooLarge {
+			kind = outdated.Denial(kind, standing)
+		}
 		s.refuseEarly(w, r, kind, arrived, "")
 		return
 	}
