Serve by an overdue configuration if no live peer has a newer one

An instance that had heard of a newer configuration from peers that were lost since, while the store was down, would have refused all requests, though there was nobody else.

It is overdue only while a live peer has reported a newer generation than its own.

Test: the case of lost peers in TestTracker failed before (read from the code; it doesn't compile there, as Standing had no peers).

--- a/core/node/configs.go
+++ b/core/node/configs.go
@@ -67,7 +67,7 @@
 	n.fetchFromPeer()
 	n.announceStanding()
 	if subject, behind, due := n.configs.newer.Notice(n.now); due {
-		n.logChange(subject, "generation", n.configs.generation(), "highest_known", n.configs.newer.Highest(), "behind", behind, "since_peer_heard", n.now-n.members.lastHeard)
+		n.logChange(subject, "generation", n.configs.generation(), "highest_known", n.configs.newer.Highest(), "behind", behind, "overdue", n.configs.newer.Overdue(), "since_peer_heard", n.now-n.members.lastHeard)
 	}
 	if n.settings.Disabled.ConfigurationStore || n.configs.polling || n.now < n.configs.nextPoll {
 		return
@@ -174,10 +174,10 @@
 	n.fetchFromPeer()
 }
 
-// announceStanding tells the driver which newer configuration is known, if that has
-// changed.
+// announceStanding tells the driver of newer configurations, if that has changed.
 func (n *Node) announceStanding() {
-	if s, changed := n.configs.newer.Standing(n.now, n.settings.ConfigBound); changed {
+	live := func(peer string) bool { p := n.members.peers[peer]; return p != nil && n.live(p) }
+	if s, changed := n.configs.newer.Standing(n.now, n.settings.ConfigBound, live); changed {
 		n.emit(event.Action{ConfigStanding: &s})
 	}
 }
--- a/core/outdated/outdated.go
+++ b/core/outdated/outdated.go
@@ -3,6 +3,8 @@
 package outdated
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"plantainfield.example/core/event"
@@ -39,11 +41,13 @@
 	// newer holds generations after inForce in ascending order, which is also the order in
 	// which they were heard of.
 	newer []heard
-	// peer is the last one that reported a newer generation.
-	peer       string
-	nextFetch  time.Duration
-	nextNotice time.Duration
-	standing   event.ConfigStanding
+	// peer is the last one that reported a newer generation, and generations holds the
+	// newer ones that peers have reported.
+	peer        string
+	generations map[string]uint64
+	nextFetch   time.Duration
+	nextNotice  time.Duration
+	standing    event.ConfigStanding
 	// noticed is set while the last report says that the instance is behind.
 	noticed bool
 }
@@ -54,7 +58,10 @@
 	if generation <= t.inForce {
 		return false
 	}
-	t.peer = peer
+	if t.generations == nil {
+		t.generations = map[string]uint64{}
+	}
+	t.peer, t.generations[peer] = peer, generation
 	if generation <= t.Highest() {
 		return false
 	}
@@ -72,6 +79,7 @@
 	for len(t.newer) > 0 && t.newer[0].generation <= t.inForce {
 		t.newer = t.newer[1:]
 	}
+	maps.DeleteFunc(t.generations, func(_ string, g uint64) bool { return g <= t.inForce })
 }
 
 // Highest returns the highest generation that is known to be in force at any instance.
@@ -107,14 +115,17 @@
 
 // Standing returns what the driver must know of the instance's configuration, which has
 // to be in force within bound of its acceptance (DefaultBound if that is 0), and whether
-// that has changed since the last call.
-func (t *Tracker) Standing(now, bound time.Duration) (s event.ConfigStanding, changed bool) {
+// that has changed since the last call. The instance is overdue only while a peer that is
+// live has a newer one: callers would have nowhere else to go.
+func (t *Tracker) Standing(now, bound time.Duration, live func(peer string) bool) (s event.ConfigStanding, changed bool) {
 	if bound <= 0 {
 		bound = DefaultBound
 	}
 	since, behind := t.Behind()
 	s = event.ConfigStanding{Behind: behind, Since: since, Highest: t.Highest()}
-	s.Overdue = behind && now-since >= bound/overdueDivisor
+	if behind && now-since >= bound/overdueDivisor {
+		s.Overdue = slices.ContainsFunc(slices.Collect(maps.Keys(t.generations)), live)
+	}
 	changed = s != t.standing
 	t.standing = s
 	return s, changed
--- a/core/outdated/outdated_test.go
+++ b/core/outdated/outdated_test.go
@@ -55,18 +55,23 @@
 		})
 		Convey("is overdue after half of the time in which a configuration must be in force", func() {
 			const bound = 3 * time.Second
-			o.Standing(0, bound)
+			gone := map[string]bool{}
+			live := func(peer string) bool { return !gone[peer] }
+			o.Standing(0, bound, live)
 			o.Heard(time.Second, "a", 6)
-			s, changed := o.Standing(time.Second, bound)
+			s, changed := o.Standing(time.Second, bound, live)
 			So(changed, ShouldBeTrue)
 			So(s, ShouldResemble, event.ConfigStanding{Behind: true, Since: time.Second, Highest: 6})
-			_, changed = o.Standing(2*time.Second, bound)
+			_, changed = o.Standing(2*time.Second, bound, live)
 			So(changed, ShouldBeFalse)
-			s, changed = o.Standing(2500*time.Millisecond, bound)
+			s, changed = o.Standing(2500*time.Millisecond, bound, live)
 			So(changed, ShouldBeTrue)
 			So(s.Overdue, ShouldBeTrue)
+			gone["a"] = true // and with it all that have the newer one
+			s, _ = o.Standing(2600*time.Millisecond, bound, live)
+			So(s.Overdue, ShouldBeFalse)
 			o.PutInForce(6)
-			s, _ = o.Standing(3*time.Second, bound)
+			s, _ = o.Standing(3*time.Second, bound, live)
 			So(s, ShouldResemble, event.ConfigStanding{Highest: 6})
 		})
 		Convey("logs that it is behind, again and again, and when it no longer is", func() {
