--- a/core/node/servinginstances_test.go
+++ b/core/node/servinginstances_test.go
@@ -71,6 +71,23 @@
 				So(h.addresses(), ShouldNotContain, in.Address)
 			}
 		})
+		Convey("one whose configuration is overdue is not named until it is no longer", func() {
+			h.hear("n2", event.PeerMessage{Loads: &event.Loads{Outdated: true}})
+			So(h.addresses(), ShouldNotContain, "n2:1")
+			h.hear("n2", event.PeerMessage{Loads: &event.Loads{}})
+			So(h.addresses(), ShouldContain, "n2:1")
+		})
+		Convey("this one is not named while it is overdue itself", func() {
+			So(h.addresses(), ShouldContain, "10.0.0.1:1")
+			h.hear("n2", event.PeerMessage{Heartbeat: &event.Heartbeat{Generation: 9}})
+			for range 30 {
+				h.advance(100 * time.Millisecond)
+				h.hear("n2", event.PeerMessage{Heartbeat: &event.Heartbeat{Generation: 9}})
+			}
+			So(h.addresses(), ShouldNotContain, "10.0.0.1:1")
+			h.configure(9, 100_000)
+			So(h.addresses(), ShouldContain, "10.0.0.1:1")
+		})
 		Convey("a load that the large ones can't carry is directed to more instances", func() {
 			for _, in := range entries[:7] {
 				h.hear(in.Name, event.PeerMessage{Loads: &event.Loads{Requests: 300}})
