--- a/core/node/unsettled_test.go
+++ b/core/node/unsettled_test.go
@@ -75,3 +75,15 @@
 		So(h.node.budgetRefusal(r, errkind.BudgetExhausted), ShouldEqual, errkind.BudgetExhausted)
 	})
 }
+
+func TestNewerConfigurationOfALostPeerIsNotWaitedForForever(t *testing.T) {
+	// Guards against 503 for good by the word of a peer that is gone, though the platform shows since that there is no newer configuration.
+	Convey("After a peer that reported a newer configuration is gone and the platform was read again, what the configuration denies is denied", t, func() {
+		h := newHosted()
+		r := &request{RequestArrived: event.RequestArrived{Budget: "b", WorstCaseTokens: 200_000}}
+		h.hear("n2", event.PeerMessage{Heartbeat: &event.Heartbeat{Generation: 2}})
+		h.advance(time.Minute)
+		h.configure(1, 100_000)
+		So(h.node.budgetRefusal(r, errkind.BudgetExhausted), ShouldEqual, errkind.BudgetExhausted)
+	})
+}
